--- /dev/null
+++ b/configurator/diff.go
@@ -0,0 +1,60 @@
+package configurator
+
+import (
+	"encoding/json"
+	"sort"
+)
+
+// Diff returns the ids of what differs between two documents, such as
+// kinds/draft, at most maxChanged of them. Token hashes are never shown.
+func Diff(before, after *Document) []string {
+	if before == nil {
+		return []string{"document"}
+	}
+	a, b := index(before), index(after)
+	var changed []string
+	for id, v := range b {
+		if a[id] != v {
+			changed = append(changed, id)
+		}
+	}
+	for id := range a {
+		if _, still := b[id]; !still {
+			changed = append(changed, id)
+		}
+	}
+	sort.Strings(changed)
+	if len(changed) > maxChanged {
+		changed = append(changed[:maxChanged-1], "and more")
+	}
+	return changed
+}
+
+// index renders each entity of a document under its id.
+func index(d *Document) map[string]string {
+	m := map[string]string{"limits": render(d.Limits)}
+	for _, v := range d.Workspaces {
+		m["workspaces/"+string(v.ID)] = render(v)
+	}
+	for _, v := range d.Kinds {
+		m["kinds/"+string(v.ID)] = render(v)
+	}
+	for _, v := range d.Pools {
+		m["pools/"+string(v.ID)] = render(v)
+	}
+	for _, v := range d.Targets {
+		m["targets/"+string(v.ID)] = render(v)
+	}
+	for _, v := range d.Operators {
+		m["operators/"+v.ID] = render(v)
+	}
+	return m
+}
+
+func render(v any) string {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		return err.Error()
+	}
+	return string(raw)
+}
--- /dev/null
+++ b/counter/counter.go
@@ -0,0 +1,272 @@
+package counter
+
+import (
+	"fmt"
+	"sort"
+
+	"buckthorndrum/identifier"
+)
+
+// Period numbers the competing periods of one workspace. It only rises.
+type Period uint32
+
+// Row is the service that one origin has given one workspace in one period.
+// A row with an empty origin announces the period's base level only.
+type Row struct {
+	Workspace identifier.Workspace `cbor:"1,keyasint"`
+	Period    Period               `cbor:"2,keyasint"`
+	// Base is the level at which the period started.
+	Base identifier.Cost `cbor:"3,keyasint"`
+	// Origin is the agent that gave the service.
+	Origin identifier.Origin `cbor:"4,keyasint"`
+	// Value is what was charged. It never falls within a period.
+	Value identifier.Cost `cbor:"5,keyasint"`
+	// Refund is what was given back. It never falls and is at most Value.
+	Refund identifier.Cost `cbor:"6,keyasint,omitempty"`
+}
+
+// Check reports whether a decoded row is well formed.
+func (r Row) Check() error {
+	if r.Workspace == "" {
+		return fmt.Errorf("counter row has no workspace")
+	}
+	if r.Value < 0 || r.Base < 0 || r.Refund < 0 {
+		return fmt.Errorf("counter row of workspace %q is negative", r.Workspace)
+	}
+	if r.Refund > r.Value {
+		return fmt.Errorf("counter row of workspace %q gives back %d of %d", r.Workspace, r.Refund, r.Value)
+	}
+	return nil
+}
+
+// Version orders the changes of one table. It only rises.
+type Version uint64
+
+// Config sets up a table.
+type Config struct {
+	// Self is the origin under which this process counts.
+	Self identifier.Origin
+}
+
+// Table holds the rows that one process knows. It is not safe for concurrent use.
+type Table struct {
+	self    identifier.Origin
+	spaces  map[identifier.Workspace]*space
+	version Version
+}
+
+// space is the state of one workspace.
+type space struct {
+	period Period
+	base   identifier.Cost
+	// baseVersion is the version at which period or base last changed.
+	baseVersion Version
+	rows        map[identifier.Origin]*cell
+	// sum is the total of value less refund over all rows.
+	sum identifier.Cost
+	// version is the version of the latest change of any row or of the base.
+	version Version
+}
+
+// cell is one row's value.
+type cell struct {
+	value   identifier.Cost
+	refund  identifier.Cost
+	version Version
+}
+
+// New returns an empty table.
+func New(cfg Config) *Table {
+	return &Table{self: cfg.Self, spaces: map[identifier.Workspace]*space{}}
+}
+
+// Level returns the level of workspace w, zero if it is not known.
+func (t *Table) Level(w identifier.Workspace) identifier.Cost {
+	s := t.spaces[w]
+	if s == nil {
+		return 0
+	}
+	return s.base + s.sum
+}
+
+// Version returns the version of the latest change.
+func (t *Table) Version() Version { return t.version }
+
+// Changed returns the version at which workspace w last changed.
+func (t *Table) Changed(w identifier.Workspace) Version {
+	s := t.spaces[w]
+	if s == nil {
+		return 0
+	}
+	return s.version
+}
+
+// Charge counts c of service by this process for workspace w. An amount that is
+// not positive is ignored.
+func (t *Table) Charge(w identifier.Workspace, c identifier.Cost) {
+	if c <= 0 {
+		return
+	}
+	s := t.space(w)
+	t.own(s).value += c
+	s.sum += c
+}
+
+// Refund gives back c of a charge whose estimate was too high. It gives back at
+// most what this process has charged in the current period and not refunded.
+func (t *Table) Refund(w identifier.Workspace, c identifier.Cost) {
+	s := t.space(w)
+	cl := s.rows[t.self]
+	if cl == nil || c <= 0 {
+		return
+	}
+	c = min(c, cl.value-cl.refund)
+	t.own(s).refund += c
+	s.sum -= c
+}
+
+// Rebase starts a new period of workspace w at level base and drops its rows.
+func (t *Table) Rebase(w identifier.Workspace, base identifier.Cost) {
+	s := t.space(w)
+	t.enter(s, s.period+1, base)
+}
+
+// Merge takes in a row from a peer and reports whether it changed anything.
+func (t *Table) Merge(r Row) bool {
+	s := t.space(r.Workspace)
+	if r.Period < s.period {
+		return false
+	}
+	changed := false
+	if r.Period > s.period {
+		t.enter(s, r.Period, r.Base)
+		changed = true
+	}
+	if r.Base > s.base {
+		t.version++
+		s.base = r.Base
+		s.baseVersion = t.version
+		s.version = t.version
+		changed = true
+	}
+	if r.Origin.Target == "" || r.Value == 0 {
+		return changed
+	}
+	return t.raise(s, r) || changed
+}
+
+// Since returns up to limit rows changed after version v in the order of their
+// change, and the version to continue from. Rows of other origins are left out
+// unless relay is set.
+func (t *Table) Since(v Version, limit int, relay bool) ([]Row, Version) {
+	var found []versioned
+	for w, s := range t.spaces {
+		if s.version <= v {
+			continue
+		}
+		found = s.since(found, w, v, t.self, relay)
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].before(found[j]) })
+	next := t.version
+	if len(found) > limit {
+		found = found[:limit]
+		next = found[limit-1].version
+	}
+	rows := make([]Row, len(found))
+	for i, f := range found {
+		rows[i] = f.row
+	}
+	return rows, next
+}
+
+// Forget drops workspace w, whose period has ended long ago.
+func (t *Table) Forget(w identifier.Workspace) { delete(t.spaces, w) }
+
+// Size returns how many workspaces and rows the table holds.
+func (t *Table) Size() (workspaces, rows int) {
+	for _, s := range t.spaces {
+		rows += len(s.rows)
+	}
+	return len(t.spaces), rows
+}
+
+func (t *Table) space(w identifier.Workspace) *space {
+	s := t.spaces[w]
+	if s == nil {
+		s = &space{rows: map[identifier.Origin]*cell{}}
+		t.spaces[w] = s
+	}
+	return s
+}
+
+func (t *Table) enter(s *space, p Period, base identifier.Cost) {
+	t.version++
+	s.period = p
+	s.base = base
+	s.baseVersion = t.version
+	s.version = t.version
+	s.sum = 0
+	clear(s.rows)
+}
+
+// own returns this process's row of s, marked as changed.
+func (t *Table) own(s *space) *cell {
+	cl := s.cell(t.self)
+	t.touch(s, cl)
+	return cl
+}
+
+func (t *Table) touch(s *space, cl *cell) {
+	t.version++
+	cl.version = t.version
+	s.version = t.version
+}
+
+func (t *Table) raise(s *space, r Row) bool {
+	cl := s.cell(r.Origin)
+	if r.Value <= cl.value && r.Refund <= cl.refund {
+		return false
+	}
+	before := cl.value - cl.refund
+	cl.value = max(cl.value, r.Value)
+	cl.refund = max(cl.refund, r.Refund)
+	s.sum += cl.value - cl.refund - before
+	t.touch(s, cl)
+	return true
+}
+
+func (s *space) cell(o identifier.Origin) *cell {
+	cl := s.rows[o]
+	if cl == nil {
+		cl = &cell{}
+		s.rows[o] = cl
+	}
+	return cl
+}
+
+// versioned is a row with the version of its latest change.
+type versioned struct {
+	row     Row
+	version Version
+}
+
+func (a versioned) before(b versioned) bool {
+	if a.version != b.version {
+		return a.version < b.version
+	}
+	return a.row.Workspace < b.row.Workspace
+}
+
+func (s *space) since(found []versioned, w identifier.Workspace, v Version, self identifier.Origin, relay bool) []versioned {
+	if s.baseVersion > v {
+		found = append(found, versioned{Row{Workspace: w, Period: s.period, Base: s.base}, s.baseVersion})
+	}
+	for o, cl := range s.rows {
+		if cl.version <= v || (o != self && !relay) {
+			continue
+		}
+		r := Row{Workspace: w, Period: s.period, Base: s.base, Origin: o, Value: cl.value, Refund: cl.refund}
+		found = append(found, versioned{r, cl.version})
+	}
+	return found
+}
--- /dev/null
+++ b/identifier/identifier.go
@@ -0,0 +1,116 @@
+package identifier
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"regexp"
+	"time"
+)
+
+// Workspace names a customer whose requests share capacity with others.
+type Workspace string
+
+// Kind names a class of work, such as a contract draft or a ticket issuance.
+type Kind string
+
+// Pool names a set of targets that can stand in for one another.
+type Pool string
+
+// Target names one back end: a model engine or a plain service.
+type Target string
+
+// Router names one router process.
+type Router string
+
+// DataCentre names a data centre.
+type DataCentre string
+
+// Region names a region, which holds one or more data centres.
+type Region string
+
+// Request identifies one request of one caller, unique across the fleet.
+type Request string
+
+// Revision numbers the accepted configurations. It only rises.
+type Revision uint64
+
+// Incarnation distinguishes one run of a process from all its other runs.
+type Incarnation uint64
+
+// NewIncarnation returns a random incarnation that is never zero.
+func NewIncarnation() Incarnation {
+	var b [8]byte
+	// Read never fails and never returns fewer bytes.
+	_, _ = rand.Read(b[:])
+	return Incarnation(binary.BigEndian.Uint64(b[:])>>1 | 1)
+}
+
+// Origin is one incarnation of the agent beside one target.
+type Origin struct {
+	Target      Target      `cbor:"1,keyasint" json:"target"`
+	Incarnation Incarnation `cbor:"2,keyasint" json:"incarnation"`
+}
+
+// String renders the origin as target/incarnation.
+func (o Origin) String() string {
+	return fmt.Sprintf("%s/%x", o.Target, uint64(o.Incarnation))
+}
+
+// Grant identifies one permission to hand a request to a target.
+// A grant of one incarnation is void in every other incarnation.
+type Grant struct {
+	Origin Origin `cbor:"1,keyasint" json:"origin"`
+	Number uint64 `cbor:"2,keyasint" json:"number"`
+}
+
+// Class is a queue's identity: a kind of work of one workspace.
+type Class struct {
+	Kind      Kind      `cbor:"1,keyasint" json:"kind"`
+	Workspace Workspace `cbor:"2,keyasint" json:"workspace"`
+}
+
+// Cost is an amount of service in weighted tokens.
+type Cost int64
+
+// Instant is a point in time in nanoseconds since the Unix epoch.
+type Instant int64
+
+// InstantOf converts t to an Instant.
+func InstantOf(t time.Time) Instant { return Instant(t.UnixNano()) }
+
+// Add returns the instant d after i.
+func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+
+// Sub returns the time from j to i.
+func (i Instant) Sub(j Instant) time.Duration { return time.Duration(i - j) }
+
+// Outcome is what a caller is told about the fate of its request.
+type Outcome string
+
+// The three outcomes that a caller can be told.
+const (
+	// Done means that the request ran and its whole answer was delivered.
+	Done Outcome = "done"
+	// NotRun means that the request did not run and never will.
+	NotRun Outcome = "not_run"
+	// Unknown means that the request may have run; repeat it under its key.
+	Unknown Outcome = "unknown"
+)
+
+// maxNameLength bounds names, in bytes, so that messages stay small.
+const maxNameLength = 64
+
+var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*$`)
+
+// CheckName reports whether s can name a workspace, kind, pool, target, router,
+// data centre or region; what says which of them is checked.
+func CheckName(what, s string) error {
+	if len(s) > maxNameLength {
+		return fmt.Errorf("%s %.16q... is longer than %d bytes", what, s, maxNameLength)
+	}
+	if !namePattern.MatchString(s) {
+		return fmt.Errorf("%s %q must start with a lower-case letter or digit and use only those, '.', '_' and '-'", what, s)
+	}
+	return nil
+}
--- /dev/null
+++ b/linker/link.go
@@ -0,0 +1,174 @@
+package linker
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/pkg/errors"
+
+	"buckthorndrum/messenger"
+)
+
+const (
+	// sendQueue is how many frames may wait to be sent on one link.
+	sendQueue = 256
+	// writeTimeout bounds the sending of one frame.
+	writeTimeout = 2 * time.Second
+	// Heartbeat is how often a process sends on an otherwise silent link.
+	Heartbeat = 500 * time.Millisecond
+	// SilentAfter is when a link on which nothing was received counts as lost.
+	SilentAfter = 3 * time.Second
+)
+
+// ErrQueueFull tells that a peer does not take in what is sent.
+var ErrQueueFull = errors.New("link has too many frames waiting")
+
+// Link is one WebSocket connection to a peer.
+type Link struct {
+	// Peer is who is at the other end. It does not change.
+	Peer messenger.Hello
+	conn *websocket.Conn
+	out  chan []byte
+	done chan struct{}
+	once sync.Once
+	// sent and received count bytes of frames.
+	sent, received *atomic.Int64
+}
+
+// Traffic counts the control bytes of one process over all its links.
+type Traffic struct {
+	Sent     atomic.Int64
+	Received atomic.Int64
+}
+
+// Accept upgrades an HTTP request to a link and exchanges hellos.
+func Accept(w http.ResponseWriter, r *http.Request, self messenger.Hello, t *Traffic) (*Link, error) {
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return nil, errors.Wrapf(err, "accept link from %s", r.RemoteAddr)
+	}
+	return join(r.Context(), conn, self, t, r.RemoteAddr)
+}
+
+// Dial opens a link to address and exchanges hellos.
+func Dial(ctx context.Context, url string, header http.Header, client *http.Client, self messenger.Hello, t *Traffic) (*Link, error) {
+	conn, resp, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPHeader: header, HTTPClient: client})
+	if resp != nil && resp.Body != nil {
+		_ = resp.Body.Close()
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "dial link to %s", url)
+	}
+	return join(ctx, conn, self, t, url)
+}
+
+func join(ctx context.Context, conn *websocket.Conn, self messenger.Hello, t *Traffic, peer string) (*Link, error) {
+	conn.SetReadLimit(messenger.MaxFrame)
+	l := &Link{conn: conn, out: make(chan []byte, sendQueue), done: make(chan struct{}), sent: &t.Sent, received: &t.Received}
+	hello, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := l.greet(hello, self); err != nil {
+		_ = conn.CloseNow()
+		return nil, errors.Wrapf(err, "exchange hellos with %s", peer)
+	}
+	return l, nil
+}
+
+func (l *Link) greet(ctx context.Context, self messenger.Hello) error {
+	raw, err := messenger.Encode(messenger.Frame{Hello: &self})
+	if err != nil {
+		return err
+	}
+	if err := l.conn.Write(ctx, websocket.MessageBinary, raw); err != nil {
+		return errors.Wrap(err, "write hello")
+	}
+	f, err := l.read(ctx)
+	if err != nil {
+		return err
+	}
+	if f.Hello == nil {
+		return errors.New("first frame is no hello")
+	}
+	l.Peer = *f.Hello
+	return nil
+}
+
+// Serve carries frames until the link is lost, and calls take for each frame
+// received. It returns the reason of the loss.
+func (l *Link) Serve(ctx context.Context, take func(messenger.Frame)) error {
+	defer l.Close()
+	go l.write(ctx)
+	for {
+		silent, cancel := context.WithTimeout(ctx, SilentAfter)
+		f, err := l.read(silent)
+		cancel()
+		if err != nil {
+			return errors.Wrapf(err, "read from %s %s", l.Peer.Role, l.Peer.Name)
+		}
+		take(f)
+	}
+}
+
+func (l *Link) read(ctx context.Context) (messenger.Frame, error) {
+	_, raw, err := l.conn.Read(ctx)
+	if err != nil {
+		return messenger.Frame{}, errors.Wrap(err, "read frame")
+	}
+	l.received.Add(int64(len(raw)))
+	return messenger.Decode(raw)
+}
+
+// Send queues a frame. A peer that does not read loses its link.
+func (l *Link) Send(f messenger.Frame) error {
+	raw, err := messenger.Encode(f)
+	if err != nil {
+		return err
+	}
+	select {
+	case l.out <- raw:
+		return nil
+	case <-l.done:
+		return errors.Errorf("send to %s %s: link is closed", l.Peer.Role, l.Peer.Name)
+	default:
+		l.Close()
+		return errors.Wrapf(ErrQueueFull, "send to %s %s", l.Peer.Role, l.Peer.Name)
+	}
+}
+
+func (l *Link) write(ctx context.Context) {
+	defer l.Close()
+	for {
+		select {
+		case raw := <-l.out:
+			if l.writeOne(ctx, raw) != nil {
+				return
+			}
+		case <-l.done:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *Link) writeOne(ctx context.Context, raw []byte) error {
+	limited, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	l.sent.Add(int64(len(raw)))
+	return l.conn.Write(limited, websocket.MessageBinary, raw)
+}
+
+// Done is closed when the link is lost or closed.
+func (l *Link) Done() <-chan struct{} { return l.done }
+
+// Close ends the link. It may be called more than once.
+func (l *Link) Close() {
+	l.once.Do(func() {
+		close(l.done)
+		_ = l.conn.CloseNow()
+	})
+}
--- /dev/null
+++ b/queuer/config.go
@@ -0,0 +1,39 @@
+package queuer
+
+import (
+	"time"
+
+	"buckthorndrum/identifier"
+)
+
+// KindRule is what the queuer knows of one kind.
+type KindRule struct {
+	// Pool is the pool whose targets serve the kind.
+	Pool identifier.Pool
+	// MaxQueued bounds the waiting requests of one workspace.
+	MaxQueued int
+	// MaxQueuedBytes bounds their bodies, in bytes.
+	MaxQueuedBytes int
+}
+
+// Config sets up a queuer. It may be replaced while running by Configure.
+type Config struct {
+	// Self names this router; it spreads the first offers of the routers.
+	Self identifier.Router
+	// Kinds are the kinds that requests may have.
+	Kinds map[identifier.Kind]KindRule
+	// MaxBytes bounds all waiting bodies together, in bytes.
+	MaxBytes int
+	// FirstFanout is to how many agents a fresh queue is offered, at least 1.
+	FirstFanout int
+	// WidenAfter is how long a queue's head waits before the offer goes to
+	// twice as many agents.
+	WidenAfter time.Duration
+}
+
+// Defaults of the configuration.
+const (
+	DefaultMaxBytes    = 64 << 20
+	DefaultFirstFanout = 2
+	DefaultWidenAfter  = 4 * time.Millisecond
+)
--- /dev/null
+++ b/scheduler/config.go
@@ -0,0 +1,89 @@
+package scheduler
+
+import (
+	"time"
+
+	"buckthorndrum/identifier"
+)
+
+// KindRule is what the scheduler knows of one kind.
+type KindRule struct {
+	// Share is the guaranteed part of the target's capacity, from 0 to 1.
+	// The shares of all kinds of one pool sum to at most 1.
+	Share float64
+	// Urgency breaks ties inside the fairness bound; higher goes first.
+	Urgency int
+	// Estimate is the cost charged at the grant when the offer has no hint.
+	Estimate identifier.Cost
+}
+
+// Config sets up a scheduler. It may be replaced while running by Configure.
+type Config struct {
+	// Self is the incarnation whose grants this scheduler issues.
+	Self identifier.Origin
+	// Slots is the most requests that the target runs at once, at least 1.
+	Slots int
+	// Ahead is how many grants may be outstanding beyond the free slots.
+	Ahead int
+	// GrantTTL is how long a grant stays valid.
+	GrantTTL time.Duration
+	// CreditWindow bounds the credit and the debt, in weighted tokens, with
+	// which a workspace starts a backlogged period.
+	CreditWindow identifier.Cost
+	// BacklogAge is how long a workspace waits before it counts as backlogged.
+	BacklogAge time.Duration
+	// IdleAfter is how long a workspace offers nothing before its backlogged
+	// period ends.
+	IdleAfter time.Duration
+	// StuckAfter is how long running work may make no progress before the
+	// target gets nothing new.
+	StuckAfter time.Duration
+	// TokenTarget is the time between tokens above which slots are taken away;
+	// zero leaves the slots as they are.
+	TokenTarget time.Duration
+	// PreemptAfter is the least time between two preemptions; zero turns
+	// preemption off.
+	PreemptAfter time.Duration
+	// Kinds are the kinds that the target serves.
+	Kinds map[identifier.Kind]KindRule
+	// Weights are the workspaces' weights; a missing one counts as 1.
+	Weights map[identifier.Workspace]float64
+}
+
+// Defaults of the time limits.
+const (
+	DefaultGrantTTL     = 500 * time.Millisecond
+	DefaultBacklogAge   = 200 * time.Millisecond
+	DefaultIdleAfter    = time.Second
+	DefaultStuckAfter   = 5 * time.Second
+	DefaultPreemptAfter = 100 * time.Millisecond
+)
+
+// defaultEstimate is the cost charged at the grant when nothing is known.
+const defaultEstimate identifier.Cost = 64
+
+func (c Config) weight(w identifier.Workspace) float64 {
+	if v, ok := c.Weights[w]; ok && v > 0 {
+		return v
+	}
+	return 1
+}
+
+func (c Config) estimate(k identifier.Kind, hint identifier.Cost) identifier.Cost {
+	if hint > 0 {
+		return hint
+	}
+	if e := c.Kinds[k].Estimate; e > 0 {
+		return e
+	}
+	return defaultEstimate
+}
+
+// commonsShare is what no kind has reserved.
+func (c Config) commonsShare() float64 {
+	rest := 1.0
+	for _, r := range c.Kinds {
+		rest -= r.Share
+	}
+	return max(rest, 0)
+}
--- /dev/null
+++ b/scheduler/offer.go
@@ -0,0 +1,137 @@
+package scheduler
+
+import (
+	"sort"
+
+	"buckthorndrum/identifier"
+)
+
+// Offer tells an agent what one router has waiting of one class. A count of
+// zero withdraws the offer.
+type Offer struct {
+	Class identifier.Class `cbor:"1,keyasint"`
+	// Count is how many requests wait, rounded as the router likes.
+	Count int `cbor:"2,keyasint"`
+	// Age is how long the oldest one has waited, in nanoseconds.
+	Age int64 `cbor:"3,keyasint,omitempty"`
+	// Hint is the expected cost of the first one, zero if unknown.
+	Hint identifier.Cost `cbor:"4,keyasint,omitempty"`
+	// Prefix is the hash of the first one's prompt prefix, zero if none.
+	Prefix uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// offer is an Offer as held here.
+type offer struct {
+	count  int
+	oldest identifier.Instant
+	hint   identifier.Cost
+	prefix uint64
+	// granted is how many grants on this offer are outstanding.
+	granted int
+}
+
+func (o *offer) open() bool { return o.count > o.granted }
+
+// class collects the offers of one class.
+type class struct {
+	id     identifier.Class
+	offers map[identifier.Router]*offer
+	// parked are preempted requests of this class, the oldest first.
+	parked []identifier.Request
+}
+
+func (c *class) open() bool {
+	if len(c.parked) > 0 {
+		return true
+	}
+	for _, o := range c.offers {
+		if o.open() {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *class) empty() bool { return len(c.offers) == 0 && len(c.parked) == 0 }
+
+// pick returns the router whose open offer has waited longest. An offer whose
+// prefix the target holds counts as localityBonus older.
+func (c *class) pick(held func(uint64) bool) (identifier.Router, *offer) {
+	var router identifier.Router
+	var best *offer
+	var bestRank identifier.Instant
+	for r, o := range c.offers {
+		if !o.open() {
+			continue
+		}
+		rank := o.oldest
+		if o.prefix != 0 && held(o.prefix) {
+			rank = rank.Add(-localityBonus)
+		}
+		if best == nil || rank < bestRank || (rank == bestRank && r < router) {
+			router, best, bestRank = r, o, rank
+		}
+	}
+	return router, best
+}
+
+func sortKinds(ks []identifier.Kind, less func(a, b identifier.Kind) bool) {
+	sort.Slice(ks, func(i, j int) bool { return less(ks[i], ks[j]) })
+}
+
+// Offered takes in what router r has waiting now. Classes that are not named
+// stay as they were.
+func (s *Scheduler) Offered(now identifier.Instant, r identifier.Router, offers []Offer) Actions {
+	for _, o := range offers {
+		s.setOffer(now, r, o)
+	}
+	return s.fill(now)
+}
+
+// DropRouter forgets all offers of router r, whose link is lost. Its grants
+// stay valid until they expire, for the router may still be handing over.
+func (s *Scheduler) DropRouter(now identifier.Instant, r identifier.Router) {
+	for _, c := range s.classes {
+		delete(c.offers, r)
+		s.tidy(now, c)
+	}
+}
+
+func (s *Scheduler) setOffer(now identifier.Instant, r identifier.Router, in Offer) {
+	if _, served := s.cfg.Kinds[in.Class.Kind]; !served {
+		return
+	}
+	c := s.class(in.Class)
+	if in.Count <= 0 {
+		delete(c.offers, r)
+		s.tidy(now, c)
+		return
+	}
+	o := c.offers[r]
+	if o == nil {
+		o = &offer{}
+		c.offers[r] = o
+	}
+	o.count = in.Count
+	o.oldest = now - identifier.Instant(in.Age)
+	o.hint = in.Hint
+	o.prefix = in.Prefix
+	s.seen(now, in.Class.Workspace)
+}
+
+func (s *Scheduler) class(id identifier.Class) *class {
+	c := s.classes[id]
+	if c == nil {
+		c = &class{id: id, offers: map[identifier.Router]*offer{}}
+		s.classes[id] = c
+	}
+	return c
+}
+
+// tidy drops class c once nothing of it is left.
+func (s *Scheduler) tidy(now identifier.Instant, c *class) {
+	s.seen(now, c.id.Workspace)
+	if c.empty() {
+		delete(s.classes, c.id)
+	}
+}
--- /dev/null
+++ b/scheduler/pace.go
@@ -0,0 +1,84 @@
+package scheduler
+
+import (
+	"time"
+
+	"buckthorndrum/identifier"
+)
+
+const (
+	// paceWindow is how often the slots are adjusted.
+	paceWindow = 500 * time.Millisecond
+	// paceSlack is how far below the token target the time must be, as a part
+	// of the target, before a slot is given back.
+	paceSlack = 0.9
+)
+
+// pace adjusts how many requests the target runs at once by what it was seen
+// to do, not by what it reports: reports lag and may be wrong.
+type pace struct {
+	// slots is how many requests may run now, from 1 to most.
+	slots int
+	most  int
+	// progressed is when running work last made progress.
+	progressed identifier.Instant
+	// window is when the present window began.
+	window identifier.Instant
+	// tokens is how many tokens came in the present window, over all runs.
+	tokens identifier.Cost
+	// busy is the time in the window that was spent running, over all runs.
+	busy time.Duration
+	last identifier.Instant
+}
+
+func newPace(slots int) pace { return pace{slots: slots, most: slots} }
+
+func (p *pace) configure(slots int) {
+	if slots == p.most {
+		return
+	}
+	p.most = slots
+	p.slots = slots
+}
+
+// progress notes n more tokens while running requests share the target.
+func (p *pace) progress(now identifier.Instant, n identifier.Cost, running int) {
+	p.accrue(now, running)
+	p.progressed = now
+	p.tokens += n
+}
+
+func (p *pace) accrue(now identifier.Instant, running int) {
+	if p.last != 0 {
+		p.busy += time.Duration(running) * now.Sub(p.last)
+	}
+	p.last = now
+}
+
+// tick closes a window and moves the slots by one towards the token target.
+func (p *pace) tick(now identifier.Instant, cfg Config, running int) {
+	p.accrue(now, running)
+	if now.Sub(p.window) < paceWindow {
+		return
+	}
+	if cfg.TokenTarget > 0 && p.tokens > 0 {
+		p.adjust(time.Duration(int64(p.busy)/int64(p.tokens)), cfg.TokenTarget)
+	}
+	p.window = now
+	p.tokens = 0
+	p.busy = 0
+}
+
+func (p *pace) adjust(between, target time.Duration) {
+	switch {
+	case between > target:
+		p.slots = max(1, p.slots-1)
+	case float64(between) < paceSlack*float64(target):
+		p.slots = min(p.most, p.slots+1)
+	}
+}
+
+// stuck tells whether running work has made no progress for too long.
+func (p *pace) stuck(now identifier.Instant, cfg Config, running int) bool {
+	return running > 0 && cfg.StuckAfter > 0 && now.Sub(p.progressed) > cfg.StuckAfter
+}
--- /dev/null
+++ b/scheduler/prefix.go
@@ -0,0 +1,46 @@
+package scheduler
+
+// maxPrefixes bounds how many prefixes are remembered as held by the target.
+const maxPrefixes = 4096
+
+// prefixes remembers which prompt prefixes the target is likely to hold: what
+// was sent to it, corrected by its cache events, which come late and with gaps.
+type prefixes struct {
+	order []uint64
+	known map[uint64]bool
+}
+
+func newPrefixes() *prefixes { return &prefixes{known: map[uint64]bool{}} }
+
+func (p *prefixes) held(h uint64) bool { return p.known[h] }
+
+func (p *prefixes) sent(h uint64) {
+	if h == 0 || p.known[h] {
+		return
+	}
+	p.known[h] = true
+	p.order = append(p.order, h)
+	if len(p.order) > maxPrefixes {
+		delete(p.known, p.order[0])
+		p.order = p.order[1:]
+	}
+}
+
+func (p *prefixes) evicted(h uint64) {
+	if !p.known[h] {
+		return
+	}
+	delete(p.known, h)
+	for i := range p.order {
+		if p.order[i] == h {
+			p.order = append(p.order[:i], p.order[i+1:]...)
+			return
+		}
+	}
+}
+
+// CacheStored notes a cache event: the target holds prefix h.
+func (s *Scheduler) CacheStored(h uint64) { s.prefixes.sent(h) }
+
+// CacheEvicted notes a cache event: the target no longer holds prefix h.
+func (s *Scheduler) CacheEvicted(h uint64) { s.prefixes.evicted(h) }
--- /dev/null
+++ b/scheduler/run.go
@@ -0,0 +1,202 @@
+package scheduler
+
+import (
+	"fmt"
+
+	"buckthorndrum/identifier"
+)
+
+// grant is an outstanding grant.
+type grant struct {
+	class   identifier.Class
+	router  identifier.Router
+	lane    identifier.Kind
+	cost    identifier.Cost
+	prefix  uint64
+	expires identifier.Instant
+}
+
+// run is a request that was handed over.
+type run struct {
+	class identifier.Class
+	lane  identifier.Kind
+	// charged is what was counted for it so far.
+	charged identifier.Cost
+	// used is what it is known to have cost so far.
+	used    identifier.Cost
+	started identifier.Instant
+	// atTarget tells that it occupies a slot.
+	atTarget bool
+	// resumable tells that the target can cancel and resume it.
+	resumable bool
+}
+
+// Handover is a request that a router hands over under a grant.
+type Handover struct {
+	Request identifier.Request
+	Class   identifier.Class
+	// Resumable tells that the target can cancel and resume the request.
+	Resumable bool
+}
+
+// ErrGrantVoid tells that a grant was never issued, was used, or has expired,
+// so that the request it came with is not run.
+type ErrGrantVoid struct {
+	Grant identifier.Grant
+	Class identifier.Class
+}
+
+// Error implements error.
+func (e ErrGrantVoid) Error() string {
+	return fmt.Sprintf("grant %s#%d for kind %q of workspace %q is not outstanding", e.Grant.Origin, e.Grant.Number, e.Class.Kind, e.Class.Workspace)
+}
+
+// Accept takes a request over under grant id. On an error the request was not
+// taken and is not run.
+func (s *Scheduler) Accept(now identifier.Instant, id identifier.Grant, h Handover) (Actions, error) {
+	g := s.grants[id.Number]
+	if id.Origin != s.cfg.Self || g == nil || g.class != h.Class || now >= g.expires {
+		return Actions{}, ErrGrantVoid{Grant: id, Class: h.Class}
+	}
+	if _, doubled := s.runs[h.Request]; doubled {
+		return Actions{}, ErrGrantVoid{Grant: id, Class: h.Class}
+	}
+	s.forget(id.Number, g)
+	s.consume(now, g)
+	s.prefixes.sent(g.prefix)
+	s.runs[h.Request] = &run{class: g.class, lane: g.lane, charged: g.cost, resumable: h.Resumable}
+	s.queued = append(s.queued, h.Request)
+	return s.fill(now), nil
+}
+
+// consume lowers the offer that grant g was issued on by the one request that
+// was handed over. The router's next offer replaces the count.
+func (s *Scheduler) consume(now identifier.Instant, g *grant) {
+	c := s.classes[g.class]
+	if c == nil || c.offers[g.router] == nil {
+		return
+	}
+	o := c.offers[g.router]
+	o.count--
+	if o.count <= 0 {
+		delete(c.offers, g.router)
+	}
+	s.tidy(now, c)
+}
+
+// Decline takes back grant id, for which the router had nothing.
+func (s *Scheduler) Decline(now identifier.Instant, id identifier.Grant) Actions {
+	g := s.grants[id.Number]
+	if id.Origin != s.cfg.Self || g == nil {
+		return Actions{}
+	}
+	s.release(id.Number, g)
+	s.exhaust(now, g)
+	return s.fill(now)
+}
+
+// exhaust lowers the offer that a declined grant was issued on, so that it is
+// not granted again before the router says more.
+func (s *Scheduler) exhaust(now identifier.Instant, g *grant) {
+	c := s.classes[g.class]
+	if c == nil || c.offers[g.router] == nil {
+		return
+	}
+	delete(c.offers, g.router)
+	s.tidy(now, c)
+}
+
+// Progress notes that request r has cost used so far.
+func (s *Scheduler) Progress(now identifier.Instant, r identifier.Request, used identifier.Cost) {
+	u := s.runs[r]
+	if u == nil || used <= u.used {
+		return
+	}
+	s.pace.progress(now, used-u.used, s.running)
+	u.used = used
+	if over := used - u.charged; over > 0 {
+		s.charge(u.class.Workspace, over)
+		s.lanes.correct(u.lane, over)
+		u.charged = used
+	}
+}
+
+// Finish ends request r, which cost used in all.
+func (s *Scheduler) Finish(now identifier.Instant, r identifier.Request, used identifier.Cost) Actions {
+	u := s.runs[r]
+	if u == nil {
+		return Actions{}
+	}
+	s.Progress(now, r, used)
+	s.settle(u)
+	s.pace.progress(now, 0, s.running)
+	delete(s.runs, r)
+	s.queued = without(s.queued, r)
+	if c := s.classes[u.class]; c != nil {
+		c.parked = without(c.parked, r)
+		s.tidy(now, c)
+	}
+	if u.atTarget {
+		s.running--
+	}
+	return s.fill(now)
+}
+
+// settle gives back what was charged beyond the use.
+func (s *Scheduler) settle(u *run) {
+	over := u.charged - u.used
+	if over <= 0 {
+		return
+	}
+	s.refund(u.class.Workspace, over)
+	s.lanes.correct(u.lane, -over)
+	u.charged = u.used
+}
+
+// release gives back grant n and its charge.
+func (s *Scheduler) release(n uint64, g *grant) {
+	s.forget(n, g)
+	s.refund(g.class.Workspace, g.cost)
+	s.lanes.correct(g.lane, -g.cost)
+}
+
+// forget ends grant n without touching its charge.
+func (s *Scheduler) forget(n uint64, g *grant) {
+	delete(s.grants, n)
+	c := s.classes[g.class]
+	if c == nil {
+		return
+	}
+	if o := c.offers[g.router]; o != nil && o.granted > 0 {
+		o.granted--
+	}
+}
+
+// startQueued moves handed-over requests to the target while slots are free.
+func (s *Scheduler) startQueued(now identifier.Instant, acts *Actions) {
+	for len(s.queued) > 0 && s.running < s.pace.slots {
+		r := s.queued[0]
+		s.queued = s.queued[1:]
+		s.start(now, r, acts)
+	}
+}
+
+func (s *Scheduler) start(now identifier.Instant, r identifier.Request, acts *Actions) {
+	u := s.runs[r]
+	u.atTarget = true
+	u.started = now
+	if s.running == 0 {
+		s.pace.progress(now, 0, 0)
+	}
+	s.running++
+	acts.Starts = append(acts.Starts, r)
+}
+
+func without(rs []identifier.Request, r identifier.Request) []identifier.Request {
+	for i := range rs {
+		if rs[i] == r {
+			return append(rs[:i], rs[i+1:]...)
+		}
+	}
+	return rs
+}
--- /dev/null
+++ b/scheduler/scheduler.go
@@ -0,0 +1,148 @@
+package scheduler
+
+import (
+	"time"
+
+	"buckthorndrum/counter"
+	"buckthorndrum/identifier"
+)
+
+// localityBonus is how much older a request counts whose prefix is held.
+const localityBonus = 50 * time.Millisecond
+
+// Grant permits router To to hand over one request of Class.
+type Grant struct {
+	ID    identifier.Grant
+	To    identifier.Router
+	Class identifier.Class
+}
+
+// Actions is what the caller carries out after an event.
+type Actions struct {
+	// Grants are sent to their routers.
+	Grants []Grant
+	// Starts are handed-over requests that the target starts or resumes now.
+	Starts []identifier.Request
+	// Preempts are running requests to cancel at the target. They are resumed
+	// by a later start.
+	Preempts []identifier.Request
+}
+
+// Scheduler is the state of one agent's decisions. It is not safe for
+// concurrent use.
+type Scheduler struct {
+	cfg   Config
+	table *counter.Table
+	lanes *lanes
+	// classes holds only classes with offers or parked requests.
+	classes map[identifier.Class]*class
+	// grants are the outstanding grants by number.
+	grants map[uint64]*grant
+	// number is the last grant number issued. It only rises.
+	number uint64
+	// runs are the handed-over requests that have not ended.
+	runs map[identifier.Request]*run
+	// queued are handed-over requests that wait for a slot, the oldest first.
+	queued []identifier.Request
+	// running is how many runs are at the target, at most the slots.
+	running int
+	// contenders are the workspaces that have work here or had it lately.
+	contenders map[identifier.Workspace]*contender
+	pace       pace
+	prefixes   *prefixes
+	draining   bool
+	preempted  identifier.Instant
+	// held tells that levels are not known yet, so that no period is started.
+	unsynced bool
+}
+
+// New returns a scheduler that counts service in table.
+func New(cfg Config, table *counter.Table) *Scheduler {
+	return &Scheduler{
+		cfg:        cfg,
+		table:      table,
+		lanes:      newLanes(cfg),
+		classes:    map[identifier.Class]*class{},
+		grants:     map[uint64]*grant{},
+		runs:       map[identifier.Request]*run{},
+		contenders: map[identifier.Workspace]*contender{},
+		pace:       newPace(cfg.Slots),
+		prefixes:   newPrefixes(),
+	}
+}
+
+// Configure replaces the configuration. Running work is left alone.
+func (s *Scheduler) Configure(now identifier.Instant, cfg Config) Actions {
+	cfg.Self = s.cfg.Self
+	s.cfg = cfg
+	s.lanes.configure(cfg)
+	s.pace.configure(cfg.Slots)
+	for id, c := range s.classes {
+		if _, served := cfg.Kinds[id.Kind]; !served && len(c.parked) == 0 {
+			delete(s.classes, id)
+		}
+	}
+	return s.fill(now)
+}
+
+// Drain stops all further grants for good. Grants that are outstanding stay
+// valid until they expire.
+func (s *Scheduler) Drain() { s.draining = true }
+
+// Draining tells whether Drain was called.
+func (s *Scheduler) Draining() bool { return s.draining }
+
+// SetSynced tells whether the fleet's counters are known here. Until they are,
+// no workspace's period is started anew.
+func (s *Scheduler) SetSynced(ok bool) { s.unsynced = !ok }
+
+// Idle tells whether no grant is outstanding and no request is in hand.
+func (s *Scheduler) Idle() bool { return len(s.grants) == 0 && len(s.runs) == 0 }
+
+// Load returns how many requests run, wait here and may still be handed over.
+func (s *Scheduler) Load() Load {
+	return Load{Running: s.running, Queued: len(s.queued), Granted: len(s.grants), Slots: s.pace.slots}
+}
+
+// Load is a summary of one target's occupancy, in requests.
+type Load struct {
+	Running int `cbor:"1,keyasint" json:"running"`
+	Queued  int `cbor:"2,keyasint" json:"queued"`
+	Granted int `cbor:"3,keyasint" json:"granted"`
+	Slots   int `cbor:"4,keyasint" json:"slots"`
+}
+
+// Room returns how many more requests could be taken at once.
+func (l Load) Room() int { return l.Slots - l.Running - l.Queued - l.Granted }
+
+// Tick expires grants and fills the room that they leave.
+func (s *Scheduler) Tick(now identifier.Instant) Actions {
+	for n, g := range s.grants {
+		if now >= g.expires {
+			s.release(n, g)
+		}
+	}
+	s.establish(now)
+	s.pace.tick(now, s.cfg, s.running)
+	return s.fill(now)
+}
+
+// fill starts queued work and issues grants while there is room.
+func (s *Scheduler) fill(now identifier.Instant) Actions {
+	var acts Actions
+	s.startQueued(now, &acts)
+	for s.room(now) > 0 {
+		if !s.grantNext(now, &acts) {
+			break
+		}
+	}
+	s.preempt(now, &acts)
+	return acts
+}
+
+func (s *Scheduler) room(now identifier.Instant) int {
+	if s.pace.stuck(now, s.cfg, s.running) {
+		return 0
+	}
+	return s.pace.slots + s.cfg.Ahead - s.running - len(s.queued) - len(s.grants)
+}
