--- /dev/null
+++ b/agent/board.go
@@ -0,0 +1,59 @@
+package agent
+
+import (
+	"sync"
+
+	"buckthorndrum/configurator"
+	"buckthorndrum/counter"
+	"buckthorndrum/identifier"
+	"buckthorndrum/keeper"
+	"buckthorndrum/linker"
+	"buckthorndrum/scheduler"
+)
+
+// board is the agent's blackboard. All fields are guarded by mu.
+type board struct {
+	mu      sync.Mutex
+	adopter *configurator.Adopter
+	table   *counter.Table
+	sched   *scheduler.Scheduler
+	keys    *keeper.Keeper
+	records map[identifier.Request]*record
+	routers map[identifier.Router]*linker.Link
+	peers   map[identifier.Target]*peer
+	pool    identifier.Pool
+	// stopping tells that the agent shuts down. It is never unset.
+	stopping bool
+	// retired tells that the configuration wants the target to leave.
+	retired bool
+	// configured tells that the target stands in the configuration in force.
+	configured bool
+}
+
+// peer is another agent that exchanges counters with this one.
+type peer struct {
+	// link is nil while the peer is being dialled.
+	link *linker.Link
+	// sent is the version up to which rows were sent on this link.
+	sent counter.Version
+	// relay tells that the peer wants rows of other origins.
+	relay bool
+	// told is what the peer was last told of this agent's own wish for them.
+	told bool
+}
+
+// leaving tells that the target takes no new work.
+func (b *board) leaving() bool { return b.stopping || b.retired }
+
+func newBoard(self identifier.Origin) *board {
+	table := counter.New(counter.Config{Self: self})
+	return &board{
+		adopter: configurator.NewAdopter(),
+		table:   table,
+		sched:   scheduler.New(scheduler.Config{Self: self, Slots: 1}, table),
+		keys:    keeper.New(),
+		records: map[identifier.Request]*record{},
+		routers: map[identifier.Router]*linker.Link{},
+		peers:   map[identifier.Target]*peer{},
+	}
+}
--- /dev/null
+++ b/agent/handler.go
@@ -0,0 +1,82 @@
+package agent
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.uber.org/zap"
+
+	"buckthorndrum/identifier"
+	"buckthorndrum/messenger"
+)
+
+// handler returns the agent's HTTP interface towards routers and other agents.
+func (a *Agent) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /link", a.guard(a.acceptLink))
+	mux.HandleFunc("POST /run", a.guard(a.handleRun))
+	mux.HandleFunc("GET /answers/{request}", a.guard(a.handleAnswer))
+	mux.HandleFunc("DELETE /answers/{request}", a.guard(a.handleCancel))
+	mux.HandleFunc("POST /keys", a.guard(a.handleMint))
+	mux.HandleFunc("GET /keys/{sequence}", a.guard(a.handleKey))
+	mux.HandleFunc("POST /keys/{sequence}/close", a.guard(a.handleClose))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(a.metrics.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	mux.HandleFunc("GET /readyz", a.handleReady)
+	return mux
+}
+
+// guard refuses calls from processes that are not of the fleet.
+func (a *Agent) guard(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, err := a.sec.Check(r.Header, time.Now()); err != nil {
+			a.log.Warn("call refused", zap.String("from", r.RemoteAddr), zap.Error(err))
+			http.Error(w, "not a process of this fleet", http.StatusUnauthorized)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (a *Agent) handleReady(w http.ResponseWriter, _ *http.Request) {
+	a.board.mu.Lock()
+	ready := a.board.configured && !a.board.leaving()
+	a.board.mu.Unlock()
+	if !ready {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+// refuse answers a call that was not taken.
+func refuse(w http.ResponseWriter, status int, f messenger.Fault) {
+	reply(w, status, f)
+}
+
+func reply(w http.ResponseWriter, status int, v any) {
+	raw, err := cbor.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/cbor")
+	w.WriteHeader(status)
+	_, _ = w.Write(raw)
+}
+
+// Names of the steps at which an agent refuses or ends a request.
+const (
+	stepDecode = "decode_handover"
+	stepGrant  = "check_grant"
+	stepKey    = "check_key"
+	stepFind   = "find_answer"
+	stepQueue  = "wait_for_slot"
+	stepTarget = "run_at_target"
+)
+
+func (a *Agent) notRun(step, detail string) messenger.Fault {
+	return messenger.Fault{Outcome: identifier.NotRun, Step: step, Detail: detail}
+}
--- /dev/null
+++ b/agent/keys.go
@@ -0,0 +1,70 @@
+package agent
+
+import (
+	"io"
+	"net/http"
+	"strconv"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"buckthorndrum/identifier"
+	"buckthorndrum/keeper"
+	"buckthorndrum/messenger"
+)
+
+// maxKeyCall bounds the body of a call about a key, in bytes.
+const maxKeyCall = 4096
+
+// handleMint reserves a key. A target that is leaving mints none.
+func (a *Agent) handleMint(w http.ResponseWriter, r *http.Request) {
+	raw, err := io.ReadAll(io.LimitReader(r.Body, maxKeyCall))
+	var c identifier.Class
+	if err != nil || cbor.Unmarshal(raw, &c) != nil {
+		refuse(w, http.StatusBadRequest, a.notRun(stepKey, "call names no kind"))
+		return
+	}
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	if a.board.leaving() || !a.board.configured {
+		refuse(w, http.StatusServiceUnavailable, a.notRun(stepKey, "target is leaving"))
+		return
+	}
+	n := a.board.keys.Mint()
+	reply(w, http.StatusOK, messenger.KeyReply{Sequence: n, State: string(keeper.Fresh), Incarnation: a.self.Incarnation})
+}
+
+// handleKey tells the state of a key.
+func (a *Agent) handleKey(w http.ResponseWriter, r *http.Request) {
+	a.answerKey(w, r, a.board.keys.State)
+}
+
+// handleClose makes sure that a key that has not run never will.
+func (a *Agent) handleClose(w http.ResponseWriter, r *http.Request) {
+	a.answerKey(w, r, a.board.keys.Close)
+}
+
+func (a *Agent) answerKey(w http.ResponseWriter, r *http.Request, ask func(uint64) (keeper.State, error)) {
+	n, err := strconv.ParseUint(r.PathValue("sequence"), 10, 64)
+	inc, errInc := strconv.ParseUint(r.FormValue("incarnation"), 16, 64)
+	if err != nil || errInc != nil {
+		refuse(w, http.StatusBadRequest, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "call names no key"})
+		return
+	}
+	if identifier.Incarnation(inc) != a.self.Incarnation {
+		refuse(w, http.StatusGone, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "the incarnation that minted the key is gone"})
+		return
+	}
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	st, err := ask(n)
+	if err != nil {
+		refuse(w, http.StatusNotFound, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: err.Error()})
+		return
+	}
+	k := messenger.KeyReply{Sequence: n, State: string(st), Incarnation: a.self.Incarnation, Request: a.requestOf(n)}
+	if st == keeper.Ended {
+		k.Outcome = a.board.keys.Result(n).Outcome
+		k.Kept = a.board.records[k.Request] != nil
+	}
+	reply(w, http.StatusOK, k)
+}
--- /dev/null
+++ b/agent/links.go
@@ -0,0 +1,243 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"buckthorndrum/configurator"
+	"buckthorndrum/identifier"
+	"buckthorndrum/linker"
+	"buckthorndrum/messenger"
+	"buckthorndrum/spreader"
+)
+
+func (a *Agent) hello() messenger.Hello {
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	return messenger.Hello{
+		Role:        messenger.AgentRole,
+		Name:        string(a.self.Target),
+		Incarnation: a.self.Incarnation,
+		Pool:        a.board.pool,
+		DataCentre:  a.cfg.DataCentre,
+	}
+}
+
+// acceptLink serves a link that a router or another agent has opened.
+func (a *Agent) acceptLink(w http.ResponseWriter, r *http.Request) {
+	l, err := linker.Accept(w, r, a.hello(), &a.traffic)
+	if err != nil {
+		a.log.Warn("link not accepted", zap.Error(err))
+		return
+	}
+	if l.Peer.Role == messenger.RouterRole {
+		a.serveRouter(l)
+		return
+	}
+	a.servePeer(l)
+}
+
+func (a *Agent) serveRouter(l *linker.Link) {
+	name := identifier.Router(l.Peer.Name)
+	a.board.mu.Lock()
+	if old := a.board.routers[name]; old != nil {
+		old.Close()
+		a.board.sched.DropRouter(now(), name)
+	}
+	a.board.routers[name] = l
+	a.send(l, a.status())
+	a.board.mu.Unlock()
+	err := l.Serve(a.ctx, func(f messenger.Frame) { a.fromRouter(name, l, f) })
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	if a.board.routers[name] == l {
+		delete(a.board.routers, name)
+		a.board.sched.DropRouter(now(), name)
+	}
+	a.log.Info("router link lost", zap.String("router", l.Peer.Name), zap.Error(err))
+}
+
+// status is the frame that tells a router of the target's occupancy.
+func (a *Agent) status() messenger.Frame {
+	load := a.board.sched.Load()
+	return messenger.Frame{Load: &load}
+}
+
+func (a *Agent) fromRouter(name identifier.Router, l *linker.Link, f messenger.Frame) {
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	a.spread(l, f)
+	if a.board.routers[name] != l {
+		return
+	}
+	for _, g := range f.Declines {
+		a.apply(a.board.sched.Decline(now(), g))
+	}
+	if len(f.Offers) > 0 {
+		a.apply(a.board.sched.Offered(now(), name, f.Offers))
+	}
+}
+
+// spread handles the configuration in a frame. The caller holds the lock.
+func (a *Agent) spread(l *linker.Link, f messenger.Frame) {
+	res, err := spreader.Take(a.board.adopter, f)
+	if err != nil {
+		a.log.Warn("configuration not taken", zap.String("peer", l.Peer.Name), zap.Error(err))
+	}
+	for _, reply := range res.Replies {
+		a.send(l, reply)
+	}
+	if res.Adopted {
+		a.enforce(a.board.adopter.Current())
+		a.tellAll()
+	}
+}
+
+// tellAll sends the revision to everybody, so that it spreads at once. The
+// caller holds the lock.
+func (a *Agent) tellAll() {
+	for _, l := range a.board.routers {
+		a.send(l, messenger.Frame{})
+	}
+	for _, p := range a.board.peers {
+		a.send(p.link, messenger.Frame{})
+	}
+}
+
+// beat sends each router the target's occupancy, which is a heartbeat too.
+func (a *Agent) beat() {
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	for _, l := range a.board.routers {
+		a.send(l, a.status())
+	}
+}
+
+// dialPeers opens the links to other agents that are missing. Of two agents the
+// one with the lower name dials.
+func (a *Agent) dialPeers() {
+	a.board.mu.Lock()
+	missing := a.missingPeers()
+	a.board.mu.Unlock()
+	for _, t := range missing {
+		go a.dialPeer(t)
+	}
+}
+
+func (a *Agent) missingPeers() []configurator.Target {
+	s := a.board.adopter.Current()
+	if s == nil || !a.board.configured {
+		return nil
+	}
+	self, _ := s.Target(a.cfg.Target)
+	var members []linker.Candidate
+	for _, t := range s.Document.Targets {
+		if t.Pool == self.Pool {
+			members = append(members, linker.Candidate{Name: string(t.ID), Near: t.Region == self.Region})
+		}
+	}
+	var missing []configurator.Target
+	for _, name := range linker.Subset(string(self.ID), members, linker.Bound) {
+		t, _ := s.Target(identifier.Target(name))
+		if a.board.peers[t.ID] == nil && self.ID < t.ID {
+			a.board.peers[t.ID] = &peer{}
+			missing = append(missing, t)
+		}
+	}
+	return missing
+}
+
+// dialTimeout bounds the opening of a link.
+const dialTimeout = 2 * time.Second
+
+func (a *Agent) dialPeer(t configurator.Target) {
+	ctx, cancel := context.WithTimeout(a.ctx, dialTimeout)
+	defer cancel()
+	h := http.Header{}
+	a.sec.Sign(h, string(a.self.Target), time.Now())
+	l, err := linker.Dial(ctx, a.sec.Scheme()+"://"+t.Agent+"/link", h, a.links, a.hello(), &a.traffic)
+	if err != nil {
+		a.log.Debug("agent not reached", zap.String("peer", string(t.ID)), zap.Error(err))
+		a.dropPeer(t.ID, nil)
+		return
+	}
+	a.servePeer(l)
+}
+
+func (a *Agent) servePeer(l *linker.Link) {
+	name := identifier.Target(l.Peer.Name)
+	a.board.mu.Lock()
+	if old := a.board.peers[name]; old != nil && old.link != nil {
+		old.link.Close()
+	}
+	a.board.peers[name] = &peer{link: l}
+	a.send(l, messenger.Frame{})
+	a.board.mu.Unlock()
+	err := l.Serve(a.ctx, func(f messenger.Frame) { a.fromPeer(name, l, f) })
+	a.log.Info("agent link lost", zap.String("peer", l.Peer.Name), zap.Error(err))
+	a.dropPeer(name, l)
+}
+
+// dropPeer forgets a peer if link l is still its link.
+func (a *Agent) dropPeer(name identifier.Target, l *linker.Link) {
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	if p := a.board.peers[name]; p != nil && p.link == l {
+		delete(a.board.peers, name)
+	}
+}
+
+func (a *Agent) fromPeer(name identifier.Target, l *linker.Link, f messenger.Frame) {
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	a.spread(l, f)
+	p := a.board.peers[name]
+	if p == nil || p.link != l || f.Counters == nil {
+		return
+	}
+	for _, row := range f.Counters.Rows {
+		a.board.table.Merge(row)
+	}
+	if f.Counters.Relay && !p.relay {
+		p.sent = 0 // Rows of other origins were left out so far.
+	}
+	p.relay = f.Counters.Relay
+}
+
+// maxRows bounds the counter rows in one frame.
+const maxRows = 512
+
+// publish sends each peer the rows that changed since the last time. A link
+// loses nothing while it lasts, and a new one starts from the first row.
+func (a *Agent) publish() {
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	relay := a.wantsRelay()
+	for _, p := range a.board.peers {
+		if p.link == nil {
+			continue
+		}
+		rows, upto := a.board.table.Since(p.sent, maxRows, p.relay)
+		p.sent = upto
+		f := messenger.Frame{}
+		if len(rows) > 0 || relay != p.told {
+			f.Counters = &messenger.Counters{Rows: rows, Relay: relay}
+			p.told = relay
+		}
+		a.send(p.link, f)
+	}
+}
+
+// wantsRelay tells whether a peer is not linked, so that its rows have to come
+// by way of the others.
+func (a *Agent) wantsRelay() bool {
+	for _, p := range a.board.peers {
+		if p.link == nil {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/agent/metrics.go
@@ -0,0 +1,26 @@
+package agent
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// metrics are the agent's measurements. No label takes a value from a caller.
+type metrics struct {
+	registry  *prometheus.Registry
+	grants    prometheus.Counter
+	preempted prometheus.Counter
+	tokens    prometheus.Counter
+	outcomes  *prometheus.CounterVec
+}
+
+func newMetrics() *metrics {
+	m := &metrics{
+		registry:  prometheus.NewRegistry(),
+		grants:    prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_agent_grants_total", Help: "Grants issued to routers."}),
+		preempted: prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_agent_preemptions_total", Help: "Runs cancelled to be resumed later."}),
+		tokens:    prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_agent_tokens_total", Help: "Tokens received from the target."}),
+		outcomes:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_agent_outcomes_total", Help: "Requests ended, by outcome."}, []string{"outcome"}),
+	}
+	m.registry.MustRegister(m.grants, m.preempted, m.tokens, m.outcomes)
+	return m
+}
--- /dev/null
+++ b/agent/record.go
@@ -0,0 +1,93 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"buckthorndrum/identifier"
+	"buckthorndrum/messenger"
+)
+
+// record is one request that was handed over, with its answer so far. It is
+// guarded by the board's lock.
+type record struct {
+	handover messenger.Handover
+	// tokens is the answer so far. It only grows.
+	tokens []string
+	// first is the index of tokens[0]: what an earlier attempt delivered
+	// elsewhere is not repeated here.
+	first int
+	// end is set once, when the request has ended.
+	end *messenger.End
+	// changed is closed and replaced whenever tokens or end change.
+	changed chan struct{}
+	// start receives a value each time the scheduler starts the request.
+	start chan struct{}
+	// interrupt cancels the present attempt at the target so that it is resumed
+	// later.
+	interrupt context.CancelFunc
+	preempted bool
+	// cancelled tells that the caller wants no more of it.
+	cancelled bool
+	abort     context.CancelFunc
+	// readers is how many routers follow the answer.
+	readers int
+	// idleSince is when the last reader left.
+	idleSince time.Time
+	ended     time.Time
+}
+
+func newRecord(h messenger.Handover, now time.Time) *record {
+	return &record{
+		handover:  h,
+		first:     len(h.Prior),
+		changed:   make(chan struct{}),
+		start:     make(chan struct{}, 1),
+		idleSince: now,
+	}
+}
+
+// total is how many tokens the answer has so far.
+func (r *record) total() int { return r.first + len(r.tokens) }
+
+func (r *record) wake() {
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+func (r *record) add(token string) {
+	r.tokens = append(r.tokens, token)
+	r.wake()
+}
+
+func (r *record) finish(e messenger.End, now time.Time) {
+	if r.end != nil {
+		return
+	}
+	e.Tokens = r.total()
+	r.end = &e
+	r.ended = now
+	r.wake()
+}
+
+// since returns what follows the first n tokens of the answer.
+func (r *record) since(n int) messenger.Piece {
+	p := messenger.Piece{Index: n, End: r.end}
+	if n < r.first {
+		// What came before was delivered by an earlier attempt.
+		p.Index = n
+		p.Tokens = append(p.Tokens, r.handover.Prior[n:]...)
+		n = r.first
+	}
+	p.Tokens = append(p.Tokens, r.tokens[n-r.first:]...)
+	return p
+}
+
+// cost is what the request has cost so far: its tokens for a model, and the
+// kind's fixed cost for a plain service.
+func (r *record) cost(fixed identifier.Cost) identifier.Cost {
+	if fixed > 0 {
+		return fixed
+	}
+	return identifier.Cost(len(r.tokens))
+}
--- a/messenger/answer.go
+++ b/messenger/answer.go
@@ -14,8 +14,8 @@
 	// Request is the caller's request.
 	Request identifier.Request `cbor:"2,keyasint"`
 	Class   identifier.Class   `cbor:"3,keyasint"`
-	// Key is the sequence of the minted key under which it runs, if any.
-	Key *uint64 `cbor:"4,keyasint,omitempty"`
+	// Key is the minted key under which it runs, if any.
+	Key *KeyRef `cbor:"4,keyasint,omitempty"`
 	// DeadlineMS is the time left for the answer, in milliseconds.
 	DeadlineMS int64 `cbor:"5,keyasint"`
 	// Body is the caller's payload.
@@ -29,6 +29,12 @@
 	Prefix uint64 `cbor:"9,keyasint,omitempty"`
 }
 
+// KeyRef names a minted key to the agent that is expected to have minted it.
+type KeyRef struct {
+	Incarnation identifier.Incarnation `cbor:"1,keyasint"`
+	Sequence    uint64                 `cbor:"2,keyasint"`
+}
+
 // Check reports the first fault of a decoded handover.
 func (h Handover) Check() error {
 	if h.Request == "" {
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -64,15 +64,11 @@
 	Class identifier.Class `cbor:"2,keyasint"`
 }
 
-// Counters brings counter rows and acknowledges those received.
+// Counters brings counter rows.
 type Counters struct {
 	Rows []counter.Row `cbor:"1,keyasint,omitempty"`
-	// Upto is the sender's version that the rows reach.
-	Upto counter.Version `cbor:"2,keyasint,omitempty"`
-	// Ack is the highest version of the receiver that the sender has taken in.
-	Ack counter.Version `cbor:"3,keyasint,omitempty"`
 	// Relay asks the receiver to send rows of other origins too.
-	Relay bool `cbor:"4,keyasint,omitempty"`
+	Relay bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Want asks a peer for configuration.
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -43,16 +43,27 @@
 // Enqueue takes request it in, or returns a Refusal. A refused request is not
 // run.
 func (s *Queuer) Enqueue(now identifier.Instant, it Item) error {
+	if err := s.Admit(now, it); err != nil {
+		return err
+	}
+	s.add(s.queue(it, s.cfg.Kinds[it.Class.Kind].Pool), &it, false)
+	return nil
+}
+
+// Admit returns the Refusal that request it would meet now, or nil. It changes
+// nothing.
+func (s *Queuer) Admit(now identifier.Instant, it Item) error {
 	rule, known := s.cfg.Kinds[it.Class.Kind]
 	if !known {
 		return Refusal{Request: it.Request, Class: it.Class, Reason: UnknownKind}
 	}
-	q := s.queue(it, rule.Pool)
+	q := s.queues[queueID{it.Class, it.Bound}]
+	if q == nil {
+		q = &queue{}
+	}
 	if reason := s.refuse(now, q, it, rule); reason != "" {
-		s.dropEmpty(q)
 		return Refusal{Request: it.Request, Class: it.Class, Reason: reason, RetryAfter: s.retryAfter(q)}
 	}
-	s.add(q, &it, false)
 	return nil
 }
 
--- /dev/null
+++ b/router/admin.go
@@ -0,0 +1,232 @@
+package router
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+
+	"github.com/kataras/iris/v12"
+	"github.com/pkg/errors"
+
+	"buckthorndrum/configurator"
+	"buckthorndrum/identifier"
+	"buckthorndrum/queuer"
+	"buckthorndrum/scheduler"
+	"buckthorndrum/signer"
+	"buckthorndrum/storer"
+)
+
+func (r *Router) adminRoutes(app *iris.Application) {
+	app.Get("/v1/config", r.admin(r.handleGetConfig))
+	app.Put("/v1/config", r.admin(r.handlePutConfig))
+	app.Post("/v1/config/validate", r.admin(r.handleValidate))
+	app.Get("/v1/config/schema", r.handleSchema)
+	app.Get("/v1/audit", r.admin(r.handleAudit))
+	app.Get("/v1/status", r.admin(r.handleStatus))
+	app.Post("/v1/targets/{id:string}/drain", r.admin(r.handleDrain))
+	app.Get("/console", r.handleConsole)
+}
+
+// bootstrapOperator is who makes the first change, by the fleet's own secret,
+// while no configuration names an operator.
+const bootstrapOperator = "bootstrap"
+
+// admin passes on the name of an operator whose token is valid.
+func (r *Router) admin(next func(ctx iris.Context, operator string)) iris.Handler {
+	return func(ctx iris.Context) {
+		hash := signer.HashToken(bearer(ctx))
+		s := r.snapshot()
+		if s == nil {
+			if signer.SameHash(hash, signer.HashToken(r.cfg.Security.Secret)) {
+				next(ctx, bootstrapOperator)
+				return
+			}
+		} else if name, ok := s.OperatorOf(hash); ok {
+			next(ctx, name)
+			return
+		}
+		sendProblem(ctx, adminFault(http.StatusUnauthorized, "The operator token is not valid.", "", "unauthorized"))
+	}
+}
+
+// adminFault is a problem of an operator's call, which has no outcome.
+func adminFault(status int, title, detail, reason string) Problem {
+	return Problem{Type: problemType, Title: title, Status: status, Detail: detail, Reason: reason}
+}
+
+func (r *Router) handleGetConfig(ctx iris.Context, _ string) {
+	s := r.snapshot()
+	if s == nil {
+		sendProblem(ctx, adminFault(http.StatusNotFound, "There is no configuration yet.", "", "not_ready"))
+		return
+	}
+	ctx.Header("ETag", etag(s.Revision))
+	sendJSON(ctx, http.StatusOK, s.Document)
+}
+
+func etag(rev identifier.Revision) string { return fmt.Sprintf("%q", strconv.FormatUint(uint64(rev), 10)) }
+
+// maxDocument bounds a configuration document, in bytes.
+const maxDocument = 32 << 20
+
+func (r *Router) handlePutConfig(ctx iris.Context, operator string) {
+	expected, err := strconv.ParseUint(strings.Trim(ctx.GetHeader("If-Match"), `"`), 10, 64)
+	if err != nil {
+		sendProblem(ctx, adminFault(http.StatusPreconditionRequired, "If-Match is missing.", "send the revision that the change is based on, 0 for the first", "if_match"))
+		return
+	}
+	doc, ok := readDocument(ctx)
+	if !ok {
+		return
+	}
+	rev, err := r.change(ctx.Request().Context(), identifier.Revision(expected), doc, operator)
+	if err != nil {
+		sendProblem(ctx, changeProblem(err))
+		return
+	}
+	ctx.Header("ETag", etag(rev))
+	sendJSON(ctx, http.StatusOK, map[string]identifier.Revision{"revision": rev})
+}
+
+// changeProblem tells an operator why a change was not accepted.
+func changeProblem(err error) Problem {
+	var conflict configurator.ErrConflict
+	switch {
+	case errors.As(err, &conflict):
+		return adminFault(http.StatusPreconditionFailed, "Another change came first.", err.Error(), "conflict")
+	case errors.Is(err, storer.ErrLost):
+		return adminFault(http.StatusGatewayTimeout, "It is not known whether the change was accepted.", "repeat it with the same If-Match; it is accepted at most once", "lost")
+	}
+	return adminFault(http.StatusServiceUnavailable, "The change was not accepted.", err.Error(), "store")
+}
+
+func readDocument(ctx iris.Context) (configurator.Document, bool) {
+	raw, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, maxDocument))
+	if err != nil {
+		sendProblem(ctx, adminFault(http.StatusRequestEntityTooLarge, "The document could not be read.", err.Error(), "bad_body"))
+		return configurator.Document{}, false
+	}
+	doc, err := configurator.Decode(raw)
+	if err != nil {
+		sendProblem(ctx, adminFault(http.StatusUnprocessableEntity, "The document is not valid.", err.Error(), "invalid"))
+		return configurator.Document{}, false
+	}
+	return doc, true
+}
+
+func (r *Router) handleValidate(ctx iris.Context, _ string) {
+	if _, ok := readDocument(ctx); ok {
+		sendJSON(ctx, http.StatusOK, map[string]bool{"valid": true})
+	}
+}
+
+func (r *Router) handleSchema(ctx iris.Context) {
+	raw, err := configurator.Schema()
+	if err != nil {
+		sendProblem(ctx, adminFault(http.StatusInternalServerError, "The schema could not be built.", err.Error(), "schema"))
+		return
+	}
+	ctx.Header("Content-Type", "application/schema+json")
+	_, _ = ctx.Write(raw)
+}
+
+func (r *Router) handleAudit(ctx iris.Context, _ string) {
+	p, err := r.auditPage(ctx.Request().Context(), configurator.Hash(ctx.URLParam("page")))
+	if err != nil {
+		sendProblem(ctx, adminFault(http.StatusNotFound, "The page could not be read.", err.Error(), "audit"))
+		return
+	}
+	sendJSON(ctx, http.StatusOK, p)
+}
+
+// Status is what an operator sees of one router.
+type Status struct {
+	Router     identifier.Router     `json:"router"`
+	DataCentre identifier.DataCentre `json:"data_centre"`
+	Revision   identifier.Revision   `json:"revision"`
+	Stopping   bool                  `json:"stopping"`
+	StoreOK    bool                  `json:"store_ok"`
+	Waiting    int                   `json:"waiting"`
+	Bytes      int                   `json:"waiting_bytes"`
+	Control    int64                 `json:"control_bytes"`
+	Queues     []queuer.Depth        `json:"queues"`
+	Targets    []TargetStatus        `json:"targets"`
+}
+
+// TargetStatus is what a router sees of one target.
+type TargetStatus struct {
+	Target  identifier.Target `json:"target"`
+	Pool    identifier.Pool   `json:"pool"`
+	Linked  bool              `json:"linked"`
+	Leaving bool              `json:"leaving"`
+	Load    scheduler.Load    `json:"load"`
+}
+
+func (r *Router) handleStatus(ctx iris.Context, _ string) { sendJSON(ctx, http.StatusOK, r.status()) }
+
+func (r *Router) status() Status {
+	sent, received := r.Traffic()
+	r.board.mu.Lock()
+	defer r.board.mu.Unlock()
+	st := Status{
+		Router:     r.cfg.Name,
+		DataCentre: r.cfg.DataCentre,
+		Revision:   r.board.adopter.Revision(),
+		Stopping:   r.board.stopping,
+		StoreOK:    r.board.storeOK,
+		Control:    sent + received,
+		Queues:     r.board.queues.Depths(),
+		Targets:    r.targetStatus(),
+	}
+	st.Waiting, st.Bytes = r.board.queues.Len()
+	return st
+}
+
+func (r *Router) targetStatus() []TargetStatus {
+	s := r.board.adopter.Current()
+	if s == nil {
+		return nil
+	}
+	ts := make([]TargetStatus, 0, len(s.Document.Targets))
+	for _, t := range s.Document.Targets {
+		v := TargetStatus{Target: t.ID, Pool: t.Pool, Leaving: t.State == configurator.Leaving}
+		if a := r.board.agents[t.ID]; a != nil {
+			v.Linked = a.link != nil
+			v.Leaving = v.Leaving || a.leaving
+			v.Load = a.load
+		}
+		ts = append(ts, v)
+	}
+	sort.Slice(ts, func(i, j int) bool { return ts[i].Target < ts[j].Target })
+	return ts
+}
+
+// handleDrain marks a target as leaving in the configuration.
+func (r *Router) handleDrain(ctx iris.Context, operator string) {
+	id := identifier.Target(ctx.Params().Get("id"))
+	s := r.snapshot()
+	if s == nil {
+		sendProblem(ctx, adminFault(http.StatusNotFound, "There is no configuration yet.", "", "not_ready"))
+		return
+	}
+	if _, known := s.Target(id); !known {
+		sendProblem(ctx, adminFault(http.StatusNotFound, "The target does not exist.", fmt.Sprintf("target %.64q does not exist", id), "unknown_target"))
+		return
+	}
+	doc := s.Document
+	doc.Targets = append([]configurator.Target(nil), doc.Targets...)
+	for i := range doc.Targets {
+		if doc.Targets[i].ID == id {
+			doc.Targets[i].State = configurator.Leaving
+		}
+	}
+	rev, err := r.change(ctx.Request().Context(), s.Revision, doc, operator)
+	if err != nil {
+		sendProblem(ctx, changeProblem(err))
+		return
+	}
+	sendJSON(ctx, http.StatusOK, map[string]identifier.Revision{"revision": rev})
+}
--- /dev/null
+++ b/router/board.go
@@ -0,0 +1,50 @@
+package router
+
+import (
+	"sync"
+
+	"buckthorndrum/configurator"
+	"buckthorndrum/identifier"
+	"buckthorndrum/linker"
+	"buckthorndrum/queuer"
+	"buckthorndrum/retrier"
+	"buckthorndrum/scheduler"
+)
+
+// board is the router's blackboard. All fields are guarded by mu.
+type board struct {
+	mu      sync.Mutex
+	adopter *configurator.Adopter
+	queues  *queuer.Queuer
+	// calls are the requests whose callers wait here.
+	calls  map[identifier.Request]*call
+	agents map[identifier.Target]*agentLink
+	budget *retrier.Budget
+	// serial numbers the requests. It only rises.
+	serial uint64
+	// stopping tells that the router takes no new requests. It is never unset.
+	stopping bool
+	// storeOK tells that the last call to the key-value service succeeded.
+	storeOK bool
+}
+
+// agentLink is what the router knows of one agent.
+type agentLink struct {
+	// link is nil while the agent is being dialled.
+	link    *linker.Link
+	address string
+	origin  identifier.Origin
+	pool    identifier.Pool
+	load    scheduler.Load
+	leaving bool
+}
+
+func newBoard(cfg queuer.Config) *board {
+	return &board{
+		adopter: configurator.NewAdopter(),
+		queues:  queuer.New(cfg),
+		calls:   map[identifier.Request]*call{},
+		agents:  map[identifier.Target]*agentLink{},
+		budget:  retrier.New(0),
+	}
+}
--- /dev/null
+++ b/router/callers.go
@@ -0,0 +1,263 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/kataras/iris/v12"
+
+	"buckthorndrum/configurator"
+	"buckthorndrum/identifier"
+	"buckthorndrum/queuer"
+)
+
+// Submission is the body with which a caller submits a request.
+type Submission struct {
+	Kind identifier.Kind `json:"kind"`
+	// Prompt is the input of a model request.
+	Prompt string `json:"prompt,omitempty"`
+	// Payload is the input of a plain service.
+	Payload json.RawMessage `json:"payload,omitempty"`
+	// DeadlineMS is how long the answer is wanted, in milliseconds from now.
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
+	// CostHint is the expected number of tokens.
+	CostHint int64 `json:"cost_hint,omitempty"`
+	// Prefix names the part that the prompt shares with others.
+	Prefix string `json:"prefix,omitempty"`
+	// MaxTokens bounds the answer, below the kind's own bound.
+	MaxTokens int `json:"max_tokens,omitempty"`
+}
+
+const (
+	// maxDeadline bounds a caller's deadline.
+	maxDeadline = 24 * time.Hour
+	// maxHint bounds a caller's cost hint, in tokens.
+	maxHint = 1 << 24
+	// maxKeyLength bounds an idempotency key, in bytes.
+	maxKeyLength = 256
+)
+
+func (r *Router) callerRoutes(app *iris.Application) {
+	app.Post("/v1/requests", r.handleSubmit)
+	app.Get("/v1/requests/{id:string}", r.handleFetch)
+	app.Delete("/v1/requests/{id:string}", r.handleCancel)
+	app.Post("/v1/keys", r.handleMintKey)
+}
+
+func (r *Router) handleSubmit(ctx iris.Context) {
+	w, s, ok := r.authenticate(ctx)
+	if !ok {
+		return
+	}
+	sub, p := readSubmission(ctx, s)
+	if p != nil {
+		sendProblem(ctx, *p)
+		return
+	}
+	c, p := r.newCall(w, s, sub)
+	if p != nil {
+		sendProblem(ctx, *p)
+		return
+	}
+	k := keyed{call: c, value: ctx.GetHeader("Idempotency-Key"), first: ctx.GetHeader("Idempotency-Attempt") == "first"}
+	if p := checkKeyUse(k); p != nil {
+		sendProblem(ctx, *p)
+		return
+	}
+	r.respond(ctx, c, func(run context.Context, out sink) ending {
+		if k.value != "" {
+			return r.runKeyed(run, k, out)
+		}
+		return r.run(run, c, out)
+	})
+}
+
+func readSubmission(ctx iris.Context, s *configurator.Snapshot) (Submission, *Problem) {
+	var sub Submission
+	limit := s.Document.Limits.MaxBodyBytes
+	raw, err := io.ReadAll(http.MaxBytesReader(ctx.ResponseWriter(), ctx.Request().Body, int64(limit)))
+	if err != nil {
+		p := fault(http.StatusRequestEntityTooLarge, "The body could not be read.", fmt.Sprintf("%v; bodies may have %d bytes", err, limit), "bad_body")
+		return sub, &p
+	}
+	d := json.NewDecoder(strings.NewReader(string(raw)))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&sub); err != nil {
+		p := fault(http.StatusBadRequest, "The body is not a valid submission.", err.Error(), "bad_body")
+		return sub, &p
+	}
+	return sub, nil
+}
+
+// newCall checks a submission and prepares its request.
+func (r *Router) newCall(w identifier.Workspace, s *configurator.Snapshot, sub Submission) (*call, *Problem) {
+	kind, ok := s.Kind(sub.Kind)
+	if !ok {
+		p := fault(http.StatusBadRequest, "The kind does not exist.", fmt.Sprintf("kind %.64q does not exist", sub.Kind), string(queuer.UnknownKind))
+		return nil, &p
+	}
+	if sub.DeadlineMS < 0 || sub.CostHint < 0 || sub.CostHint > maxHint || sub.MaxTokens < 0 {
+		p := fault(http.StatusBadRequest, "A number is out of range.", "deadline_ms, cost_hint and max_tokens must not be negative", "bad_body")
+		return nil, &p
+	}
+	if sub.DeadlineMS == 0 {
+		sub.DeadlineMS = kind.DeadlineMS
+	}
+	if sub.MaxTokens > 0 && sub.MaxTokens < kind.MaxTokens {
+		kind.MaxTokens = sub.MaxTokens
+	}
+	c := &call{kind: kind, body: bodyOf(s, kind, sub), grants: make(chan granted, 1), expired: make(chan struct{})}
+	r.board.mu.Lock()
+	defer r.board.mu.Unlock()
+	at := now()
+	c.item = queuer.Item{
+		Request:  r.nextRequest(),
+		Class:    identifier.Class{Kind: kind.ID, Workspace: w},
+		Bytes:    len(c.body),
+		Arrived:  at,
+		Deadline: at.Add(min(time.Duration(sub.DeadlineMS)*time.Millisecond, maxDeadline)),
+		Hint:     identifier.Cost(sub.CostHint),
+	}
+	if sub.Prefix != "" {
+		c.item.Prefix = xxhash.Sum64String(string(w) + "|" + sub.Prefix)
+	}
+	return c, nil
+}
+
+func bodyOf(s *configurator.Snapshot, kind configurator.Kind, sub Submission) []byte {
+	if p, _ := s.Pool(kind.Pool); p.Type == configurator.Engine {
+		return []byte(sub.Prompt)
+	}
+	return sub.Payload
+}
+
+// checkKeyUse refuses a request that may not be repeated and has no key.
+func checkKeyUse(k keyed) *Problem {
+	if k.value == "" && !k.call.kind.Repeatable {
+		p := fault(http.StatusBadRequest, "The kind needs an idempotency key.", fmt.Sprintf("requests of kind %q may not be repeated; send an Idempotency-Key", k.call.kind.ID), "key_needed")
+		return &p
+	}
+	if len(k.value) > maxKeyLength {
+		p := fault(http.StatusBadRequest, "The idempotency key is too long.", "", "bad_key")
+		return &p
+	}
+	return nil
+}
+
+// respond runs a request and sends its answer, as a stream if the caller
+// accepts one.
+func (r *Router) respond(ctx iris.Context, c *call, run func(context.Context, sink) ending) {
+	var out answer = &whole{}
+	if strings.Contains(ctx.GetHeader("Accept"), eventStream) {
+		out = newEvents(ctx)
+	}
+	e := run(ctx.Request().Context(), out)
+	r.metrics.outcomes.WithLabelValues(string(e.Outcome)).Inc()
+	out.finish(ctx, c, e)
+}
+
+// handleFetch streams the answer of an earlier request from a token on.
+func (r *Router) handleFetch(ctx iris.Context) {
+	w, _, ok := r.authenticate(ctx)
+	if !ok {
+		return
+	}
+	from, hint, p := resumePoint(ctx)
+	if p != nil {
+		sendProblem(ctx, *p)
+		return
+	}
+	c := &call{item: queuer.Item{
+		Request:  identifier.Request(ctx.Params().Get("id")),
+		Class:    identifier.Class{Workspace: w},
+		Deadline: now().Add(maxDeadline),
+	}}
+	c.prior = make([]string, from)
+	r.respond(ctx, c, func(run context.Context, out sink) ending { return r.find(run, c, hint, out) })
+}
+
+// resumePoint reads from which token on an answer is wanted, and which target
+// is likely to hold it: from the query or from the Last-Event-ID that a stream
+// has set, index@target.
+func resumePoint(ctx iris.Context) (int, identifier.Target, *Problem) {
+	if last := ctx.GetHeader("Last-Event-ID"); last != "" {
+		index, target, _ := strings.Cut(last, "@")
+		n, err := strconv.Atoi(index)
+		if err == nil && n >= 0 && n < maxHint {
+			return n + 1, identifier.Target(target), nil
+		}
+	}
+	v := ctx.URLParamDefault("from", "0")
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 || n > maxHint {
+		p := fault(http.StatusBadRequest, "The resume point is not valid.", fmt.Sprintf("from %.32q is not a token number", v), "bad_resume")
+		return 0, "", &p
+	}
+	return n, "", nil
+}
+
+// handleCancel ends a request of the caller's own workspace.
+func (r *Router) handleCancel(ctx iris.Context) {
+	w, _, ok := r.authenticate(ctx)
+	if !ok {
+		return
+	}
+	id := identifier.Request(ctx.Params().Get("id"))
+	if r.cancelHere(w, id) {
+		ctx.StatusCode(http.StatusNoContent)
+		return
+	}
+	if r.cancelThere(ctx.Request().Context(), w, id) {
+		ctx.StatusCode(http.StatusNoContent)
+		return
+	}
+	p := fault(http.StatusNotFound, "The request is not known.", "it has ended, waits at another router, or is not yours", "unknown_request")
+	p.Outcome = identifier.Unknown
+	sendProblem(ctx, p)
+}
+
+// cancelHere ends a request that waits in this router.
+func (r *Router) cancelHere(w identifier.Workspace, id identifier.Request) bool {
+	r.board.mu.Lock()
+	defer r.board.mu.Unlock()
+	c := r.board.calls[id]
+	if c == nil || c.item.Class.Workspace != w || !r.board.queues.Cancel(id) {
+		return false
+	}
+	c.expire()
+	return true
+}
+
+// handleMintKey reserves a key for a kind.
+func (r *Router) handleMintKey(ctx iris.Context) {
+	w, s, ok := r.authenticate(ctx)
+	if !ok {
+		return
+	}
+	var in struct {
+		Kind identifier.Kind `json:"kind"`
+	}
+	if err := json.NewDecoder(io.LimitReader(ctx.Request().Body, maxKeyLength)).Decode(&in); err != nil {
+		sendProblem(ctx, fault(http.StatusBadRequest, "The body names no kind.", err.Error(), "bad_body"))
+		return
+	}
+	if _, known := s.Kind(in.Kind); !known {
+		sendProblem(ctx, fault(http.StatusBadRequest, "The kind does not exist.", fmt.Sprintf("kind %.64q does not exist", in.Kind), string(queuer.UnknownKind)))
+		return
+	}
+	key, err := r.mint(ctx.Request().Context(), identifier.Class{Kind: in.Kind, Workspace: w})
+	if err != nil {
+		p := fault(http.StatusServiceUnavailable, "No key could be reserved.", err.Error(), "no_target")
+		p.RetryAfterMS = time.Second.Milliseconds()
+		sendProblem(ctx, p)
+		return
+	}
+	sendJSON(ctx, http.StatusCreated, map[string]string{"key": r.sign.Format(key)})
+}
--- /dev/null
+++ b/router/handler.go
@@ -0,0 +1,72 @@
+package router
+
+import (
+	"net/http"
+	"strings"
+
+	"github.com/kataras/iris/v12"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"buckthorndrum/configurator"
+	"buckthorndrum/identifier"
+	"buckthorndrum/signer"
+)
+
+// handler returns the router's HTTP interface towards callers and operators.
+func (r *Router) handler() (http.Handler, error) {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Configure(iris.WithoutStartupLog, iris.WithoutBodyConsumptionOnUnmarshal)
+	r.callerRoutes(app)
+	r.adminRoutes(app)
+	app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(r.metrics.registry, promhttp.HandlerOpts{})))
+	app.Get("/healthz", func(ctx iris.Context) { ctx.StatusCode(http.StatusOK) })
+	app.Get("/readyz", r.handleReady)
+	if err := app.Build(); err != nil {
+		return nil, errors.Wrap(err, "build routes")
+	}
+	return app, nil
+}
+
+func (r *Router) handleReady(ctx iris.Context) {
+	r.board.mu.Lock()
+	ready := r.board.adopter.Current() != nil && !r.board.stopping
+	r.board.mu.Unlock()
+	if !ready {
+		sendProblem(ctx, fault(http.StatusServiceUnavailable, "The router is not ready.", "", "not_ready"))
+		return
+	}
+	ctx.StatusCode(http.StatusOK)
+}
+
+// snapshot returns the configuration in force, or nil.
+func (r *Router) snapshot() *configurator.Snapshot {
+	r.board.mu.Lock()
+	defer r.board.mu.Unlock()
+	return r.board.adopter.Current()
+}
+
+func bearer(ctx iris.Context) string {
+	token, ok := strings.CutPrefix(ctx.GetHeader("Authorization"), "Bearer ")
+	if !ok {
+		return ""
+	}
+	return token
+}
+
+// authenticate returns the workspace of a caller and the configuration that
+// says so, or answers the call and returns false.
+func (r *Router) authenticate(ctx iris.Context) (identifier.Workspace, *configurator.Snapshot, bool) {
+	s := r.snapshot()
+	if s == nil {
+		sendProblem(ctx, fault(http.StatusServiceUnavailable, "The router has no configuration yet.", "", "not_ready"))
+		return "", nil, false
+	}
+	w, ok := s.WorkspaceOf(signer.HashToken(bearer(ctx)))
+	if !ok {
+		sendProblem(ctx, fault(http.StatusUnauthorized, "The bearer token is not valid.", "", "unauthorized"))
+		return "", nil, false
+	}
+	return w, s, true
+}
--- /dev/null
+++ b/router/handover.go
@@ -0,0 +1,250 @@
+package router
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"buckthorndrum/identifier"
+	"buckthorndrum/messenger"
+	"buckthorndrum/retrier"
+)
+
+// attempt hands a request over under grant g and follows its answer. again
+// tells that the request may be queued once more; e says how it ends otherwise.
+func (r *Router) attempt(ctx context.Context, c *call, g granted, out sink) (e *ending, again bool) {
+	c.attempts++
+	c.at = handedTo{origin: g.id.Origin, address: g.address}
+	resp, err := r.post(ctx, c, &g.id)
+	if err != nil {
+		return r.lostHandover(c, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return r.refusedHandover(c, resp)
+	}
+	if err := out.accepted(c.item.Request, c.at.origin.Target); err != nil {
+		return r.abandoned(c), false
+	}
+	end, err := r.follow(c, resp.Body, out)
+	if err != nil {
+		end, err = r.resume(ctx, c, err, out)
+	}
+	return r.concluded(c, end, err)
+}
+
+// post sends the handover to the agent.
+func (r *Router) post(ctx context.Context, c *call, g *identifier.Grant) (*http.Response, error) {
+	h := messenger.Handover{
+		Grant:      g,
+		Request:    c.item.Request,
+		Class:      c.item.Class,
+		DeadlineMS: max(1, c.item.Deadline.Sub(now()).Milliseconds()),
+		Body:       c.body,
+		MaxTokens:  c.kind.MaxTokens,
+		Prior:      c.prior,
+		Prefix:     c.item.Prefix,
+	}
+	if c.key != nil {
+		h.Key = &messenger.KeyRef{Incarnation: c.key.Origin.Incarnation, Sequence: c.key.Sequence}
+	}
+	raw, err := cbor.Marshal(h)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode handover")
+	}
+	req, err := r.request(ctx, http.MethodPost, c.at.address, "/run", raw)
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport cannot send the handover a second time.
+	req.GetBody = nil
+	return r.client.Do(req)
+}
+
+// request prepares a signed call to an agent.
+func (r *Router) request(ctx context.Context, method, address, path string, body []byte) (*http.Request, error) {
+	req, err := http.NewRequestWithContext(ctx, method, r.sec.Scheme()+"://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrapf(err, "prepare call to agent %s", address)
+	}
+	r.sec.Sign(req.Header, string(r.cfg.Name), time.Now())
+	return req, nil
+}
+
+// unsent tells whether an error proves that nothing reached the agent.
+func unsent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// lostHandover decides what follows when no answer to a handover came. The
+// request may be running, so only a repeatable one is tried again.
+func (r *Router) lostHandover(c *call, err error) (*ending, bool) {
+	e := &ending{Outcome: identifier.Unknown, Step: stepHandover, Peer: string(c.at.origin.Target), Detail: err.Error(), RetryAfter: time.Second}
+	if unsent(err) {
+		e.Outcome = c.notRun()
+		return e, true
+	}
+	c.mayHaveRun = true
+	// Under a key the agent runs the request at most once, so that handing it
+	// over again is safe.
+	return e, c.kind.Repeatable || c.key != nil
+}
+
+// refusedHandover decides what follows when an agent has refused a handover.
+func (r *Router) refusedHandover(c *call, resp *http.Response) (*ending, bool) {
+	f := readFault(resp)
+	e := &ending{Outcome: f.Outcome, Step: f.Step, Peer: string(c.at.origin.Target), Detail: f.Detail, RetryAfter: time.Second}
+	if f.Step == faultGrant {
+		// The grant came too late: the request goes back to the front.
+		e.void = true
+		e.Outcome = c.notRun()
+		return e, true
+	}
+	return e, false
+}
+
+// faultGrant is the step with which an agent refuses a grant.
+const faultGrant = "check_grant"
+
+// maxFault bounds an agent's refusal, in bytes.
+const maxFault = 64 << 10
+
+func readFault(resp *http.Response) messenger.Fault {
+	var f messenger.Fault
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxFault))
+	if err == nil && cbor.Unmarshal(raw, &f) == nil && f.Outcome != "" {
+		return f
+	}
+	return messenger.Fault{Outcome: identifier.Unknown, Step: stepHandover, Detail: fmt.Sprintf("agent answered with status %d", resp.StatusCode)}
+}
+
+// follow reads pieces until the end. A gap or a broken stream is an error; what
+// was read so far is kept in c.prior.
+func (r *Router) follow(c *call, body io.Reader, out sink) (messenger.End, error) {
+	dec := cbor.NewDecoder(body)
+	for {
+		var p messenger.Piece
+		if err := dec.Decode(&p); err != nil {
+			return messenger.End{}, errors.Wrapf(err, "read answer after token %d", len(c.prior))
+		}
+		if err := r.takePiece(c, p, out); err != nil {
+			return messenger.End{}, err
+		}
+		if p.End == nil {
+			continue
+		}
+		if p.End.Outcome == identifier.Done && p.End.Tokens != len(c.prior) {
+			return messenger.End{}, errors.Errorf("answer ended at token %d of %d", len(c.prior), p.End.Tokens)
+		}
+		return *p.End, nil
+	}
+}
+
+// takePiece passes on the tokens of a piece that were not passed on before.
+func (r *Router) takePiece(c *call, p messenger.Piece, out sink) error {
+	if p.Index > len(c.prior) {
+		return errors.Errorf("answer skipped from token %d to %d", len(c.prior), p.Index)
+	}
+	for i, text := range p.Tokens {
+		if p.Index+i < len(c.prior) {
+			continue
+		}
+		if len(c.prior) == 0 {
+			r.metrics.first.Observe(now().Sub(c.item.Arrived).Seconds())
+		}
+		c.prior = append(c.prior, text)
+		if err := out.token(len(c.prior)-1, text); err != nil {
+			return errors.Wrap(errCallerGone, err.Error())
+		}
+	}
+	return nil
+}
+
+// maxResumes bounds how often a broken stream is resumed at its agent.
+const maxResumes = 5
+
+// resume follows the answer of the same run again after a broken stream.
+func (r *Router) resume(ctx context.Context, c *call, broken error, out sink) (messenger.End, error) {
+	for n := 1; n <= maxResumes && !errors.Is(broken, errCallerGone); n++ {
+		wait, inTime := retrier.Backoff(now(), c.item.Deadline, n, jitter())
+		if !inTime {
+			break
+		}
+		select {
+		case <-ctx.Done():
+			return messenger.End{}, broken
+		case <-time.After(wait):
+		}
+		end, err := r.fetch(ctx, c, out)
+		if err == nil {
+			return end, nil
+		}
+		broken = err
+		if errors.Is(err, errNoAnswer) {
+			break
+		}
+	}
+	return messenger.End{}, broken
+}
+
+// errNoAnswer means that the agent does not know the request, as after a
+// restart.
+var errNoAnswer = errors.New("agent does not hold the answer")
+
+// fetch follows the answer of c at its agent from where it broke off.
+func (r *Router) fetch(ctx context.Context, c *call, out sink) (messenger.End, error) {
+	path := fmt.Sprintf("/answers/%s?from=%d", c.item.Request, len(c.prior))
+	req, err := r.request(ctx, http.MethodGet, c.at.address, path, nil)
+	if err != nil {
+		return messenger.End{}, err
+	}
+	req.Header.Set(workspaceHeader, string(c.item.Class.Workspace))
+	resp, err := r.client.Do(req)
+	if err != nil {
+		return messenger.End{}, errors.Wrap(err, "fetch answer")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode != http.StatusOK {
+		return messenger.End{}, errors.Wrapf(errNoAnswer, "fetch answer from %s", c.at.address)
+	}
+	return r.follow(c, resp.Body, out)
+}
+
+// workspaceHeader names the workspace on whose behalf a router asks.
+const workspaceHeader = "X-Buckthorndrum-Workspace"
+
+// concluded decides what follows when an attempt has ended.
+func (r *Router) concluded(c *call, end messenger.End, err error) (*ending, bool) {
+	switch {
+	case errors.Is(err, errCallerGone):
+		return r.abandoned(c), false
+	case err != nil:
+		c.mayHaveRun = true
+		e := &ending{Outcome: identifier.Unknown, Step: stepStream, Peer: string(c.at.origin.Target), Detail: err.Error(), RetryAfter: time.Second}
+		return e, c.kind.Repeatable || c.key != nil
+	case end.Outcome == identifier.Done:
+		e := fromEnd(end)
+		return &e, false
+	}
+	e := fromEnd(end)
+	e.RetryAfter = time.Second
+	if end.Outcome == identifier.NotRun {
+		e.Outcome = c.notRun()
+	} else {
+		c.mayHaveRun = true
+	}
+	// A key that ended as not run is closed for ever and cannot be queued again.
+	return &e, c.kind.Repeatable && c.key == nil
+}
+
+func (r *Router) abandoned(c *call) *ending {
+	return &ending{Outcome: identifier.Unknown, Step: stepStream, Peer: "caller", Detail: errCallerGone.Error()}
+}
--- /dev/null
+++ b/router/store.go
@@ -0,0 +1,250 @@
+package router
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"buckthorndrum/configurator"
+	"buckthorndrum/identifier"
+	"buckthorndrum/storer"
+)
+
+const (
+	// headKey is where the head record stands.
+	headKey = "config/head"
+	// partPrefix comes before the hash of a part.
+	partPrefix = "config/part/"
+	// watchWait is how long one watch waits.
+	watchWait = 20 * time.Second
+	// storeRetry is the wait after a failed call.
+	storeRetry = 500 * time.Millisecond
+	// storeTimeout bounds one change of the configuration.
+	storeTimeout = 5 * time.Second
+)
+
+// watchConfig follows the head record in the key-value service.
+func (r *Router) watchConfig() {
+	var v storer.Version
+	for r.ctx.Err() == nil {
+		ent, err := r.cfg.Store.Watch(r.ctx, headKey, v, watchWait)
+		r.noteStore(err)
+		if err != nil {
+			select {
+			case <-time.After(storeRetry):
+			case <-r.ctx.Done():
+			}
+			continue
+		}
+		if err := r.offerStored(r.ctx, ent.Value); err != nil {
+			r.log.Warn("stored configuration not taken", zap.Error(err))
+			time.Sleep(storeRetry)
+			continue
+		}
+		v = ent.Version
+	}
+}
+
+func (r *Router) noteStore(err error) {
+	ok := err == nil || errors.Is(err, storer.ErrAbsent)
+	r.board.mu.Lock()
+	defer r.board.mu.Unlock()
+	if ok != r.board.storeOK {
+		r.log.Info("key-value service changed", zap.Bool("answers", ok), zap.Error(err))
+	}
+	r.board.storeOK = ok
+}
+
+// offerStored takes in a head record and the parts that it needs.
+func (r *Router) offerStored(ctx context.Context, raw []byte) error {
+	missing, err := r.offerHead(raw)
+	if err != nil {
+		return err
+	}
+	for _, h := range missing {
+		ent, err := r.cfg.Store.Get(ctx, partPrefix+string(h))
+		if err != nil {
+			return errors.Wrapf(err, "read configuration part %.8s", h)
+		}
+		if err := r.offerPart(ent.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *Router) offerHead(raw []byte) ([]configurator.Hash, error) {
+	r.board.mu.Lock()
+	defer r.board.mu.Unlock()
+	adopted, missing, err := r.board.adopter.OfferHead(raw)
+	if adopted {
+		r.enforce(r.board.adopter.Current())
+	}
+	return missing, err
+}
+
+func (r *Router) offerPart(raw []byte) error {
+	r.board.mu.Lock()
+	defer r.board.mu.Unlock()
+	adopted, err := r.board.adopter.OfferPart(raw)
+	if adopted {
+		r.enforce(r.board.adopter.Current())
+	}
+	return err
+}
+
+// ErrStoreBehind means that the key-value service shows an older configuration
+// than the one in force.
+type ErrStoreBehind struct{ Stored, InForce identifier.Revision }
+
+// Error implements error.
+func (e ErrStoreBehind) Error() string {
+	return fmt.Sprintf("key-value service shows revision %d, but %d is in force", e.Stored, e.InForce)
+}
+
+// change replaces the configuration that stood at revision expected by doc, and
+// returns the new revision.
+func (r *Router) change(ctx context.Context, expected identifier.Revision, doc configurator.Document, operator string) (identifier.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	head, v, err := r.storedHead(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if head.Revision < r.Revision() {
+		return 0, ErrStoreBehind{Stored: head.Revision, InForce: r.Revision()}
+	}
+	if head.Revision != expected {
+		return 0, configurator.ErrConflict{Expected: expected, Actual: head.Revision}
+	}
+	ch, err := configurator.Plan(head, r.documentAt(expected), doc, operator, time.Now())
+	if err != nil {
+		return 0, err
+	}
+	if err := r.storeParts(ctx, ch); err != nil {
+		return 0, err
+	}
+	if err := r.swapHead(ctx, ch.Head, v); err != nil {
+		return 0, err
+	}
+	return ch.Head.Revision, r.adoptChange(ch)
+}
+
+func (r *Router) storedHead(ctx context.Context) (configurator.Head, storer.Version, error) {
+	ent, err := r.cfg.Store.Get(ctx, headKey)
+	if errors.Is(err, storer.ErrAbsent) {
+		return configurator.Head{}, 0, nil
+	}
+	if err != nil {
+		return configurator.Head{}, 0, errors.Wrap(err, "read configuration head")
+	}
+	h, err := configurator.DecodeHead(ent.Value)
+	return h, ent.Version, err
+}
+
+// documentAt returns the document of a revision if it is the one in force.
+func (r *Router) documentAt(rev identifier.Revision) *configurator.Document {
+	r.board.mu.Lock()
+	defer r.board.mu.Unlock()
+	s := r.board.adopter.Current()
+	if s == nil || s.Revision != rev {
+		return nil
+	}
+	return &s.Document
+}
+
+// storeParts writes the parts that are new. They are addressed by content, so a
+// part that stands already is the same.
+func (r *Router) storeParts(ctx context.Context, ch configurator.Change) error {
+	for h, raw := range ch.Parts {
+		r.board.mu.Lock()
+		held := r.board.adopter.Part(h) != nil
+		r.board.mu.Unlock()
+		if held {
+			continue
+		}
+		_, err := r.cfg.Store.Swap(ctx, partPrefix+string(h), raw, 0, 0)
+		if err != nil && !errors.Is(err, storer.ErrConflict) {
+			return errors.Wrapf(err, "write configuration part %.8s", h)
+		}
+	}
+	return nil
+}
+
+// swapHead makes the change take effect. A lost answer is settled by reading
+// the head back.
+func (r *Router) swapHead(ctx context.Context, h configurator.Head, v storer.Version) error {
+	raw, err := json.Marshal(h)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration head")
+	}
+	ent, err := r.cfg.Store.Swap(ctx, headKey, raw, v, 0)
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, storer.ErrLost) {
+		ent, err = r.readBack(ctx, err)
+	}
+	if err != nil && !errors.Is(err, storer.ErrConflict) {
+		return errors.Wrap(err, "swap configuration head")
+	}
+	stands, decodeErr := configurator.DecodeHead(ent.Value)
+	if decodeErr != nil {
+		return decodeErr
+	}
+	if string(ent.Value) == string(raw) {
+		return nil
+	}
+	if stands.Revision < h.Revision {
+		// The write may still be on its way. Repeating the change is safe.
+		return errors.Wrap(storer.ErrLost, "swap configuration head")
+	}
+	return configurator.ErrConflict{Expected: h.Revision - 1, Actual: stands.Revision}
+}
+
+// readBack reads the head after a lost answer, or returns the loss.
+func (r *Router) readBack(ctx context.Context, lost error) (storer.Entry, error) {
+	ent, err := r.cfg.Store.Get(ctx, headKey)
+	if err != nil {
+		return storer.Entry{}, lost
+	}
+	return ent, nil
+}
+
+// adoptChange puts a change that this router has made in force here at once.
+func (r *Router) adoptChange(ch configurator.Change) error {
+	raw, err := json.Marshal(ch.Head)
+	if err != nil {
+		return errors.Wrap(err, "encode configuration head")
+	}
+	if _, err := r.offerHead(raw); err != nil {
+		return err
+	}
+	for _, part := range ch.Parts {
+		if err := r.offerPart(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// auditPage returns a page of the audit trail: the newest for an empty hash.
+func (r *Router) auditPage(ctx context.Context, h configurator.Hash) (configurator.Page, error) {
+	if h == "" {
+		r.board.mu.Lock()
+		defer r.board.mu.Unlock()
+		head, _ := r.board.adopter.Head()
+		return configurator.Page{Audit: head.Audit, Older: head.Older}, nil
+	}
+	var p configurator.Page
+	ent, err := r.cfg.Store.Get(ctx, partPrefix+string(h))
+	if err != nil {
+		return p, errors.Wrapf(err, "read audit page %.8s", h)
+	}
+	return p, errors.Wrap(json.Unmarshal(ent.Value, &p), "decode audit page")
+}
+
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -52,7 +52,7 @@
 	prefixes   *prefixes
 	draining   bool
 	preempted  identifier.Instant
-	// held tells that levels are not known yet, so that no period is started.
+	// unsynced tells that levels are not known yet, so that no period is started.
 	unsynced bool
 }
 
@@ -85,11 +85,11 @@
 	return s.fill(now)
 }
 
-// Drain stops all further grants for good. Grants that are outstanding stay
-// valid until they expire.
-func (s *Scheduler) Drain() { s.draining = true }
+// SetDraining stops all further grants, or allows them again. Grants that are
+// outstanding stay valid until they expire.
+func (s *Scheduler) SetDraining(on bool) { s.draining = on }
 
-// Draining tells whether Drain was called.
+// Draining tells whether grants are stopped.
 func (s *Scheduler) Draining() bool { return s.draining }
 
 // SetSynced tells whether the fleet's counters are known here. Until they are,
--- /dev/null
+++ b/starter/starter_test.go
@@ -0,0 +1,123 @@
+package starter_test
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+
+	"buckthorndrum/identifier"
+	"buckthorndrum/imitator"
+	"buckthorndrum/router"
+	"buckthorndrum/starter"
+)
+
+func TestStarter(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "starter")
+}
+
+// post submits a request and returns the status and the body.
+func post(url, token, body string, header map[string]string) (int, string) {
+	r, err := http.NewRequest(http.MethodPost, url+"/v1/requests", strings.NewReader(body))
+	Expect(err).NotTo(HaveOccurred())
+	r.Header.Set("Authorization", "Bearer "+token)
+	for k, v := range header {
+		r.Header.Set(k, v)
+	}
+	resp, err := http.DefaultClient.Do(r)
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	raw, err := io.ReadAll(resp.Body)
+	Expect(err).NotTo(HaveOccurred())
+	return resp.StatusCode, string(raw)
+}
+
+var _ = Describe("a local fleet", Ordered, func() {
+	var f *starter.Fleet
+	var urls []string
+	token := starter.WorkspaceToken("tanta")
+
+	BeforeAll(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		var err error
+		f, err = starter.Start(ctx, starter.Config{Routers: 2, Engines: 2, Services: 2, Log: zap.NewNop(), Seed: 1})
+		Expect(err).NotTo(HaveOccurred())
+		for _, r := range f.Routers {
+			urls = append(urls, "http://"+r.Address())
+		}
+	})
+
+	AfterAll(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+		defer cancel()
+		Expect(f.Drain(ctx)).To(Succeed())
+	})
+
+	It("answers a model request whole", func() {
+		status, body := post(urls[0], token, `{"kind":"answer","prompt":"where is my ticket? tokens=20"}`, nil)
+		Expect(status).To(Equal(http.StatusOK), body)
+		var c router.Completion
+		Expect(json.Unmarshal([]byte(body), &c)).To(Succeed())
+		Expect(c.Outcome).To(Equal(identifier.Done))
+		var want strings.Builder
+		for i := range 20 {
+			want.WriteString(imitator.Token("where is my ticket? tokens=20", i))
+		}
+		Expect(c.Answer).To(Equal(want.String()))
+	})
+
+	It("streams with an explicit end", func() {
+		status, body := post(urls[1], token, `{"kind":"draft","prompt":"tokens=5"}`, map[string]string{"Accept": "text/event-stream"})
+		Expect(status).To(Equal(http.StatusOK))
+		Expect(strings.Count(body, "event: token\n")).To(Equal(5), body)
+		Expect(body).To(ContainSubstring("event: end\n"))
+		Expect(body).To(ContainSubstring(`"outcome":"done"`))
+	})
+
+	It("issues a ticket once under a caller's own key, repeated at both routers", func() {
+		key := uuid.Must(uuid.NewV7()).String()
+		var first string
+		for i := range 4 {
+			status, body := post(urls[i%2], token, `{"kind":"ticket","payload":{"bale":7}}`, map[string]string{"Idempotency-Key": key})
+			Expect(status).To(Equal(http.StatusOK), body)
+			var c router.Completion
+			Expect(json.Unmarshal([]byte(body), &c)).To(Succeed())
+			if first == "" {
+				first = c.Answer
+			}
+			Expect(c.Answer).To(Equal(first))
+		}
+		total := 0
+		for _, s := range f.Standins.Services {
+			for _, n := range s.Runs() {
+				total += n
+			}
+		}
+		Expect(total).To(Equal(1))
+	})
+
+	It("refuses what is malformed without running it", func() {
+		for body, want := range map[string]int{
+			`{"kind":"ticket","payload":{}}`:   http.StatusBadRequest,
+			`{"kind":"nonesuch","prompt":"x"}`: http.StatusBadRequest,
+			`{"kind":`:                         http.StatusBadRequest,
+			`{"kind":"answer","colour":"red"}`: http.StatusBadRequest,
+		} {
+			status, out := post(urls[0], token, body, nil)
+			Expect(status).To(Equal(want), out)
+			Expect(out).To(ContainSubstring(`"outcome":"not_run"`))
+		}
+		status, _ := post(urls[0], "wrong", `{"kind":"answer","prompt":"x"}`, nil)
+		Expect(status).To(Equal(http.StatusUnauthorized))
+	})
+})
