--- a/agent/agent.go
+++ b/agent/agent.go
@@ -7,6 +7,8 @@
 	"sync"
 	"time"
 
+	"buckthorndrum/reporter"
+
 	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
@@ -202,7 +204,7 @@
 	f.Revision = a.board.adopter.Revision()
 	f.Leaving = a.board.leaving()
 	if err := l.Send(f); err != nil {
-		a.log.Warn("frame not sent", zap.String("peer", l.Peer.Name), zap.Error(err))
+		a.log.Warn("frame not sent", zap.String("peer", l.Peer.Name), reporter.Error(err))
 	}
 }
 
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"time"
 
+	"buckthorndrum/reporter"
+
 	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"go.uber.org/zap"
@@ -32,7 +34,7 @@
 func (a *Agent) guard(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if _, err := a.sec.Check(r.Header, time.Now()); err != nil {
-			a.log.Warn("call refused", zap.String("from", r.RemoteAddr), zap.Error(err))
+			a.log.Warn("call refused", zap.String("from", r.RemoteAddr), reporter.Error(err))
 			http.Error(w, "not a process of this fleet", http.StatusUnauthorized)
 			return
 		}
--- a/agent/links.go
+++ b/agent/links.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"buckthorndrum/reporter"
+
 	"go.uber.org/zap"
 
 	"buckthorndrum/configurator"
@@ -30,7 +32,7 @@
 func (a *Agent) acceptLink(w http.ResponseWriter, r *http.Request) {
 	l, err := linker.Accept(w, r, a.hello(), &a.traffic)
 	if err != nil {
-		a.log.Warn("link not accepted", zap.Error(err))
+		a.log.Warn("link not accepted", reporter.Error(err))
 		return
 	}
 	if l.Peer.Role == messenger.RouterRole {
@@ -57,7 +59,7 @@
 		delete(a.board.routers, name)
 		a.board.sched.DropRouter(now(), name)
 	}
-	a.log.Info("router link lost", zap.String("router", l.Peer.Name), zap.Error(err))
+	a.log.Info("router link lost", zap.String("router", l.Peer.Name), reporter.Error(err))
 }
 
 // status is the frame that tells a router of the target's occupancy.
@@ -85,7 +87,7 @@
 func (a *Agent) spread(l *linker.Link, f messenger.Frame) {
 	res, err := spreader.Take(a.board.adopter, f)
 	if err != nil {
-		a.log.Warn("configuration not taken", zap.String("peer", l.Peer.Name), zap.Error(err))
+		a.log.Warn("configuration not taken", zap.String("peer", l.Peer.Name), reporter.Error(err))
 	}
 	for _, reply := range res.Replies {
 		a.send(l, reply)
@@ -160,7 +162,7 @@
 	a.sec.Sign(h, string(a.self.Target), time.Now())
 	l, err := linker.Dial(ctx, a.sec.Scheme()+"://"+t.Agent+"/link", h, a.links, a.hello(), &a.traffic)
 	if err != nil {
-		a.log.Debug("agent not reached", zap.String("peer", string(t.ID)), zap.Error(err))
+		a.log.Debug("agent not reached", zap.String("peer", string(t.ID)), reporter.Error(err))
 		a.dropPeer(t.ID, nil)
 		return
 	}
@@ -177,7 +179,7 @@
 	a.send(l, messenger.Frame{})
 	a.board.mu.Unlock()
 	err := l.Serve(a.ctx, func(f messenger.Frame) { a.fromPeer(name, l, f) })
-	a.log.Info("agent link lost", zap.String("peer", l.Peer.Name), zap.Error(err))
+	a.log.Info("agent link lost", zap.String("peer", l.Peer.Name), reporter.Error(err))
 	a.dropPeer(name, l)
 }
 
--- a/router/admin.go
+++ b/router/admin.go
@@ -67,7 +67,9 @@
 	sendJSON(ctx, http.StatusOK, s.Document)
 }
 
-func etag(rev identifier.Revision) string { return fmt.Sprintf("%q", strconv.FormatUint(uint64(rev), 10)) }
+func etag(rev identifier.Revision) string {
+	return fmt.Sprintf("%q", strconv.FormatUint(uint64(rev), 10))
+}
 
 // maxDocument bounds a configuration document, in bytes.
 const maxDocument = 32 << 20
--- a/router/handover.go
+++ b/router/handover.go
@@ -31,7 +31,7 @@
 		return r.refusedHandover(c, resp)
 	}
 	if err := out.accepted(c.item.Request, c.at.origin.Target); err != nil {
-		return r.abandoned(c), false
+		return r.abandoned(), false
 	}
 	end, err := r.follow(c, resp.Body, out)
 	if err != nil {
@@ -225,7 +225,7 @@
 func (r *Router) concluded(c *call, end messenger.End, err error) (*ending, bool) {
 	switch {
 	case errors.Is(err, errCallerGone):
-		return r.abandoned(c), false
+		return r.abandoned(), false
 	case err != nil:
 		c.mayHaveRun = true
 		e := &ending{Outcome: identifier.Unknown, Step: stepStream, Peer: string(c.at.origin.Target), Detail: err.Error(), RetryAfter: time.Second}
@@ -245,6 +245,6 @@
 	return &e, c.kind.Repeatable && c.key == nil
 }
 
-func (r *Router) abandoned(c *call) *ending {
+func (r *Router) abandoned() *ending {
 	return &ending{Outcome: identifier.Unknown, Step: stepStream, Peer: "caller", Detail: errCallerGone.Error()}
 }
--- a/router/keyed.go
+++ b/router/keyed.go
@@ -133,7 +133,7 @@
 	c.item.Request = id
 	c.mayHaveRun = true
 	if err := out.accepted(id, c.at.origin.Target); err != nil {
-		return *r.abandoned(c)
+		return *r.abandoned()
 	}
 	end, err := r.fetch(ctx, c, out)
 	if err != nil {
--- a/router/links.go
+++ b/router/links.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"time"
 
+	"buckthorndrum/reporter"
+
 	"go.uber.org/zap"
 
 	"buckthorndrum/configurator"
@@ -74,7 +76,7 @@
 	r.sec.Sign(h, string(r.cfg.Name), time.Now())
 	l, err := linker.Dial(ctx, r.sec.Scheme()+"://"+t.Agent+"/link", h, r.links, r.hello(), &r.traffic)
 	if err != nil {
-		r.log.Debug("agent not reached", zap.String("target", string(t.ID)), zap.Error(err))
+		r.log.Debug("agent not reached", zap.String("target", string(t.ID)), reporter.Error(err))
 		r.dropAgent(t.ID, nil)
 		return
 	}
@@ -95,7 +97,7 @@
 	r.send(l, messenger.Frame{})
 	r.board.mu.Unlock()
 	err := l.Serve(r.ctx, func(f messenger.Frame) { r.fromAgent(t.ID, l, f) })
-	r.log.Info("agent link lost", zap.String("target", string(t.ID)), zap.Error(err))
+	r.log.Info("agent link lost", zap.String("target", string(t.ID)), reporter.Error(err))
 	r.dropAgent(t.ID, l)
 }
 
@@ -170,7 +172,7 @@
 func (r *Router) spread(l *linker.Link, f messenger.Frame) {
 	res, err := spreader.Take(r.board.adopter, f)
 	if err != nil {
-		r.log.Warn("configuration not taken", zap.String("peer", l.Peer.Name), zap.Error(err))
+		r.log.Warn("configuration not taken", zap.String("peer", l.Peer.Name), reporter.Error(err))
 	}
 	for _, reply := range res.Replies {
 		r.send(l, reply)
--- a/router/router.go
+++ b/router/router.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"time"
 
+	"buckthorndrum/reporter"
+
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"golang.org/x/time/rate"
@@ -190,7 +192,7 @@
 	}
 	f.Revision = r.board.adopter.Revision()
 	if err := l.Send(f); err != nil {
-		r.log.Warn("frame not sent", zap.String("peer", l.Peer.Name), zap.Error(err))
+		r.log.Warn("frame not sent", zap.String("peer", l.Peer.Name), reporter.Error(err))
 	}
 }
 
--- a/router/sinks.go
+++ b/router/sinks.go
@@ -61,14 +61,13 @@
 // events sends an answer as server-sent events: accepted, token and end, or
 // problem. A stream without an end or problem event is broken.
 type events struct {
-	ctx     iris.Context
-	flusher *http.ResponseController
-	target  identifier.Target
-	begun   bool
+	ctx    iris.Context
+	target identifier.Target
+	begun  bool
 }
 
 func newEvents(ctx iris.Context) *events {
-	return &events{ctx: ctx, flusher: http.NewResponseController(ctx.ResponseWriter().Naive())}
+	return &events{ctx: ctx}
 }
 
 func (s *events) begin() {
@@ -107,10 +106,11 @@
 	if id != "" {
 		line += "id: " + id + "\n"
 	}
-	if _, err := s.ctx.ResponseWriter().Naive().Write([]byte(line + "data: " + string(raw) + "\n\n")); err != nil {
+	if _, err := s.ctx.Write([]byte(line + "data: " + string(raw) + "\n\n")); err != nil {
 		return errors.Wrapf(err, "write %s event", name)
 	}
-	return errors.Wrapf(s.flusher.Flush(), "flush %s event", name)
+	s.ctx.ResponseWriter().Flush()
+	return nil
 }
 
 func (s *events) finish(ctx iris.Context, c *call, e ending) {
--- a/router/store.go
+++ b/router/store.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"buckthorndrum/reporter"
+
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
@@ -41,7 +43,7 @@
 			continue
 		}
 		if err := r.offerStored(r.ctx, ent.Value); err != nil {
-			r.log.Warn("stored configuration not taken", zap.Error(err))
+			r.log.Warn("stored configuration not taken", reporter.Error(err))
 			time.Sleep(storeRetry)
 			continue
 		}
@@ -54,7 +56,7 @@
 	r.board.mu.Lock()
 	defer r.board.mu.Unlock()
 	if ok != r.board.storeOK {
-		r.log.Info("key-value service changed", zap.Bool("answers", ok), zap.Error(err))
+		r.log.Info("key-value service changed", zap.Bool("answers", ok), reporter.Error(err))
 	}
 	r.board.storeOK = ok
 }
@@ -247,4 +249,3 @@
 	}
 	return p, errors.Wrap(json.Unmarshal(ent.Value, &p), "decode audit page")
 }
-
