measurer: measure the decisions in virtual time against two baselines

Cause: fairness, floods and control traffic had no figures. Change: a small harness that drives the queuer, scheduler and counter code, first come first served, least-loaded push and a perfect central queue. Found and mended by it: (1) a fixed grant ahead made a late urgent request wait a whole slot interval, so grants ahead now follow grant trip over slot interval; (2) names in every frame: frames now number names once a link; (3) open offers were counted by scanning, now kept; preemption is looked at on the tick only.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -168,7 +168,7 @@
 func (a *Agent) apply(acts scheduler.Actions) {
 	byRouter := map[identifier.Router][]messenger.Grant{}
 	for _, g := range acts.Grants {
-		byRouter[g.To] = append(byRouter[g.To], messenger.Grant{ID: g.ID, Class: g.Class})
+		byRouter[g.To] = append(byRouter[g.To], messenger.Grant{Number: g.ID.Number, Class: g.Class})
 	}
 	for r, gs := range byRouter {
 		a.metrics.grants.Add(float64(len(gs)))
--- a/agent/links.go
+++ b/agent/links.go
@@ -75,8 +75,8 @@
 	if a.board.routers[name] != l {
 		return
 	}
-	for _, g := range f.Declines {
-		a.apply(a.board.sched.Decline(now(), g))
+	for _, n := range f.Declines {
+		a.apply(a.board.sched.Decline(now(), identifier.Grant{Origin: a.self, Number: n}))
 	}
 	if len(f.Offers) > 0 {
 		a.apply(a.board.sched.Offered(now(), name, f.Offers))
--- a/configurator/snapshot.go
+++ b/configurator/snapshot.go
@@ -101,7 +101,7 @@
 	pool := s.pools[t.Pool]
 	cfg := scheduler.Config{
 		Slots:        t.Slots,
-		Ahead:        grantsAhead,
+		MaxAhead:     maxAhead,
 		GrantTTL:     scheduler.DefaultGrantTTL,
 		CreditWindow: pool.CreditWindow,
 		BacklogAge:   scheduler.DefaultBacklogAge,
@@ -125,6 +125,6 @@
 	return cfg
 }
 
-// grantsAhead is how many grants an agent issues beyond its free slots, so that
+// maxAhead is how many grants an agent may issue beyond its free slots, so that
 // the next request is there when a slot falls free.
-const grantsAhead = 1
+const maxAhead = 8
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -13,16 +13,16 @@
 // Row is the service that one origin has given one workspace in one period.
 // A row with an empty origin announces the period's base level only.
 type Row struct {
-	Workspace identifier.Workspace `cbor:"1,keyasint"`
-	Period    Period               `cbor:"2,keyasint"`
+	Workspace identifier.Workspace
+	Period    Period
 	// Base is the level at which the period started.
-	Base identifier.Cost `cbor:"3,keyasint"`
+	Base identifier.Cost
 	// Origin is the agent that gave the service.
-	Origin identifier.Origin `cbor:"4,keyasint"`
+	Origin identifier.Origin
 	// Value is what was charged. It never falls within a period.
-	Value identifier.Cost `cbor:"5,keyasint"`
+	Value identifier.Cost
 	// Refund is what was given back. It never falls and is at most Value.
-	Refund identifier.Cost `cbor:"6,keyasint,omitempty"`
+	Refund identifier.Cost
 }
 
 // Check reports whether a decoded row is well formed.
--- a/linker/link.go
+++ b/linker/link.go
@@ -32,9 +32,12 @@
 	// Peer is who is at the other end. It does not change.
 	Peer messenger.Hello
 	conn *websocket.Conn
-	out  chan []byte
-	done chan struct{}
-	once sync.Once
+	// coder is used by one encoder under sending and by one decoder.
+	coder   *messenger.Coder
+	sending sync.Mutex
+	out     chan []byte
+	done    chan struct{}
+	once    sync.Once
 	// sent and received count bytes of frames.
 	sent, received *atomic.Int64
 }
@@ -68,7 +71,7 @@
 
 func join(ctx context.Context, conn *websocket.Conn, self messenger.Hello, t *Traffic, peer string) (*Link, error) {
 	conn.SetReadLimit(messenger.MaxFrame)
-	l := &Link{conn: conn, out: make(chan []byte, sendQueue), done: make(chan struct{}), sent: &t.Sent, received: &t.Received}
+	l := &Link{conn: conn, coder: messenger.NewCoder(), out: make(chan []byte, sendQueue), done: make(chan struct{}), sent: &t.Sent, received: &t.Received}
 	hello, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if err := l.greet(hello, self); err != nil {
@@ -79,7 +82,7 @@
 }
 
 func (l *Link) greet(ctx context.Context, self messenger.Hello) error {
-	raw, err := messenger.Encode(messenger.Frame{Hello: &self})
+	raw, err := l.coder.Encode(messenger.Frame{Hello: &self})
 	if err != nil {
 		return err
 	}
@@ -119,12 +122,14 @@
 		return messenger.Frame{}, errors.Wrap(err, "read frame")
 	}
 	l.received.Add(int64(len(raw)))
-	return messenger.Decode(raw)
+	return l.coder.Decode(raw)
 }
 
 // Send queues a frame. A peer that does not read loses its link.
 func (l *Link) Send(f messenger.Frame) error {
-	raw, err := messenger.Encode(f)
+	l.sending.Lock()
+	defer l.sending.Unlock()
+	raw, err := l.coder.Encode(f)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/measurer/ours.go
@@ -0,0 +1,404 @@
+package measurer
+
+import (
+	"fmt"
+	"time"
+
+	"buckthorndrum/counter"
+	"buckthorndrum/identifier"
+	"buckthorndrum/messenger"
+	"buckthorndrum/queuer"
+	"buckthorndrum/scheduler"
+)
+
+// Figures of the runtime that drives the decision code; see the packages router
+// and agent.
+const (
+	routerTick   = 2 * time.Millisecond
+	agentTick    = 5 * time.Millisecond
+	publishEvery = 250 * time.Millisecond
+	beatEvery    = time.Second
+	creditWindow = 2048
+	maxAhead     = 8
+	maxQueued    = 200
+	// frameHeader is the WebSocket header of a small frame, in bytes.
+	frameHeader = 6
+	lossRate    = 0.3
+	doubleRate  = 0.2
+)
+
+// ours is the fleet's own decision code.
+type ours struct {
+	w       *world
+	routers []*oursRouter
+	agents  []*oursAgent
+	byName  map[identifier.Target]*oursAgent
+	// routerBy are the routers by name.
+	routerBy map[identifier.Router]*oursRouter
+	// cut tells whether messages between a router and an agent are lost.
+	cut func(r *oursRouter, a *oursAgent) bool
+	// cutAgents tells whether counters between two agents are lost.
+	cutAgents func(a, b *oursAgent) bool
+	lossy     bool
+	coders    map[[2]string]*messenger.Coder
+}
+
+type oursRouter struct {
+	index   int
+	name    identifier.Router
+	queues  *queuer.Queuer
+	jobs    map[identifier.Request]*job
+	pending bool
+}
+
+type oursAgent struct {
+	index  int
+	target *target
+	self   identifier.Origin
+	table  *counter.Table
+	sched  *scheduler.Scheduler
+	jobs   map[identifier.Request]*job
+	from   map[identifier.Request]*oursRouter
+	sent   map[*oursAgent]counter.Version
+	lives  identifier.Incarnation
+}
+
+func newOurs(w *world) *ours {
+	o := &ours{w: w, byName: map[identifier.Target]*oursAgent{}, coders: map[[2]string]*messenger.Coder{}, routerBy: map[identifier.Router]*oursRouter{}}
+	o.cut = func(*oursRouter, *oursAgent) bool { return false }
+	o.cutAgents = func(_, _ *oursAgent) bool { return false }
+	for i, t := range w.targets {
+		a := &oursAgent{index: i, target: t}
+		o.agents = append(o.agents, a)
+		o.byName[t.name] = a
+		o.boot(a)
+	}
+	for i := range w.size.Routers {
+		r := &oursRouter{index: i, name: identifier.Router(fmt.Sprintf("router-%03d", i))}
+		o.routers = append(o.routers, r)
+		o.routerBy[r.name] = r
+		o.bootRouter(r)
+	}
+	o.timers()
+	return o
+}
+
+// boot starts a new incarnation of an agent, with no state.
+func (o *ours) boot(a *oursAgent) {
+	a.lives++
+	a.self = identifier.Origin{Target: a.target.name, Incarnation: a.lives}
+	a.table = counter.New(counter.Config{Self: a.self})
+	a.sched = scheduler.New(o.schedulerConfig(a), a.table)
+	a.jobs = map[identifier.Request]*job{}
+	a.from = map[identifier.Request]*oursRouter{}
+	a.sent = map[*oursAgent]counter.Version{}
+	for _, b := range o.agents {
+		delete(b.sent, a)
+	}
+}
+
+func (o *ours) schedulerConfig(a *oursAgent) scheduler.Config {
+	cfg := scheduler.Config{
+		Self:         a.self,
+		Slots:        a.target.slots,
+		MaxAhead:     maxAhead,
+		GrantTTL:     scheduler.DefaultGrantTTL,
+		CreditWindow: creditWindow,
+		BacklogAge:   scheduler.DefaultBacklogAge,
+		IdleAfter:    scheduler.DefaultIdleAfter,
+		StuckAfter:   scheduler.DefaultStuckAfter,
+		PreemptAfter: scheduler.DefaultPreemptAfter,
+		Kinds:        map[identifier.Kind]scheduler.KindRule{},
+	}
+	if !a.target.service {
+		cfg.TokenTarget = tokenTarget
+	}
+	for _, k := range o.w.kinds {
+		if k.pool == a.target.pool {
+			cfg.Kinds[k.id] = scheduler.KindRule{Share: k.share, Urgency: k.urgency, Estimate: k.mean}
+		}
+	}
+	return cfg
+}
+
+// tokenTarget is the time between tokens that the users want.
+const tokenTarget = 32 * time.Millisecond
+
+func (o *ours) bootRouter(r *oursRouter) {
+	cfg := queuer.Config{
+		Self:        r.name,
+		Kinds:       map[identifier.Kind]queuer.KindRule{},
+		MaxBytes:    queuer.DefaultMaxBytes,
+		FirstFanout: queuer.DefaultFirstFanout,
+		WidenAfter:  queuer.DefaultWidenAfter,
+	}
+	for _, k := range o.w.kinds {
+		cfg.Kinds[k.id] = queuer.KindRule{Pool: k.pool, MaxQueued: maxQueued, MaxQueuedBytes: 1 << 20}
+	}
+	r.queues = queuer.New(cfg)
+	r.jobs = map[identifier.Request]*job{}
+	for _, a := range o.agents {
+		r.queues.SetAgent(a.target.name, a.target.pool, a.index%o.w.size.DataCentres == r.index%o.w.size.DataCentres, a.target.slots)
+	}
+}
+
+func (o *ours) timers() {
+	c := o.w.clock
+	c.every(agentTick, func() {
+		for _, a := range o.agents {
+			if !a.target.dead {
+				o.apply(a, a.sched.Tick(c.now))
+			}
+		}
+	})
+	c.every(publishEvery, func() {
+		for _, a := range o.agents {
+			o.publish(a)
+		}
+	})
+	c.every(beatEvery, o.beat)
+	c.every(sampleEvery, o.w.gauges.sample)
+	c.every(levelEvery, o.sampleLevels)
+}
+
+// beat sends the heartbeats of both sides.
+func (o *ours) beat() {
+	for _, a := range o.agents {
+		if a.target.dead {
+			continue
+		}
+		load := a.sched.Load()
+		for _, r := range o.routers {
+			o.send(string(a.target.name), string(r.name), messenger.Frame{Load: &load})
+			o.send(string(r.name), string(a.target.name), messenger.Frame{})
+			if !o.cut(r, a) {
+				o.load(r, a, load)
+			}
+		}
+	}
+}
+
+func (o *ours) load(r *oursRouter, a *oursAgent, load scheduler.Load) {
+	o.w.clock.after(o.w.delay(r.index, a.index), func() {
+		r.queues.SetAgent(a.target.name, a.target.pool, a.index%o.w.size.DataCentres == r.index%o.w.size.DataCentres, load.Room())
+	})
+}
+
+func (o *ours) coder(from, to string) *messenger.Coder {
+	id := [2]string{from, to}
+	c := o.coders[id]
+	if c == nil {
+		c = messenger.NewCoder()
+		o.coders[id] = c
+	}
+	return c
+}
+
+// send counts a frame on its way.
+func (o *ours) send(from, to string, f messenger.Frame) {
+	f.Revision = 1
+	o.w.gauges.traffic(from, to, o.size(from, to, f))
+}
+
+// size is what a frame takes on the wire.
+func (o *ours) size(from, to string, f messenger.Frame) int {
+	raw, err := o.coder(from, to).Encode(f)
+	if err != nil {
+		panic(err)
+	}
+	return len(raw) + frameHeader
+}
+
+func (o *ours) submit(j *job) {
+	r := o.routers[j.router]
+	err := r.queues.Enqueue(o.w.clock.now, queuer.Item{
+		Request:  j.id,
+		Class:    j.class,
+		Bytes:    jobBytes,
+		Arrived:  j.arrived,
+		Deadline: j.deadline,
+		Hint:     j.hint,
+		Prefix:   j.prefix,
+	})
+	if err != nil {
+		o.w.gauges.refuse(j)
+		return
+	}
+	r.jobs[j.id] = j
+	_, bytes := r.queues.Len()
+	o.w.gauges.heldBytes = max(o.w.gauges.heldBytes, bytes)
+	o.flush(r)
+}
+
+// jobBytes is the size of a job's body.
+const jobBytes = 2048
+
+// flush schedules the router's next tick if none is.
+func (o *ours) flush(r *oursRouter) {
+	if r.pending {
+		return
+	}
+	r.pending = true
+	o.w.clock.after(routerTick, func() {
+		r.pending = false
+		o.tick(r)
+	})
+}
+
+func (o *ours) tick(r *oursRouter) {
+	now := o.w.clock.now
+	for _, it := range r.queues.Expired(now) {
+		o.w.gauges.refuse(r.jobs[it.Request])
+		delete(r.jobs, it.Request)
+	}
+	for _, u := range r.queues.Updates(now) {
+		o.offer(r, o.byName[u.Target], u.Offers)
+	}
+	if n, _ := r.queues.Len(); n > 0 {
+		o.flush(r)
+	}
+}
+
+func (o *ours) offer(r *oursRouter, a *oursAgent, offers []scheduler.Offer) {
+	o.send(string(r.name), string(a.target.name), messenger.Frame{Offers: offers})
+	if o.cut(r, a) {
+		return
+	}
+	life := a.lives
+	o.w.clock.after(o.w.delay(r.index, a.index), func() {
+		if a.lives == life && !a.target.dead {
+			o.apply(a, a.sched.Offered(o.w.clock.now, r.name, offers))
+		}
+	})
+}
+
+// apply carries out an agent's actions.
+func (o *ours) apply(a *oursAgent, acts scheduler.Actions) {
+	byRouter := map[identifier.Router][]messenger.Grant{}
+	var order []identifier.Router
+	for _, g := range acts.Grants {
+		if byRouter[g.To] == nil {
+			order = append(order, g.To)
+		}
+		byRouter[g.To] = append(byRouter[g.To], messenger.Grant{Number: g.ID.Number, Class: g.Class})
+	}
+	for _, name := range order {
+		o.grant(a, o.routerBy[name], byRouter[name])
+	}
+	for _, id := range acts.Preempts {
+		a.target.cancel(a.jobs[id])
+	}
+	for _, id := range acts.Starts {
+		a.target.start(a.jobs[id])
+	}
+}
+
+func (o *ours) grant(a *oursAgent, r *oursRouter, gs []messenger.Grant) {
+	o.send(string(a.target.name), string(r.name), messenger.Frame{Grants: gs})
+	o.w.gauges.grants += len(gs)
+	if o.cut(r, a) {
+		return
+	}
+	self := a.self
+	o.w.clock.after(o.w.delay(r.index, a.index), func() { o.granted(a, self, r, gs) })
+}
+
+func (o *ours) granted(a *oursAgent, self identifier.Origin, r *oursRouter, gs []messenger.Grant) {
+	var declines []uint64
+	for _, g := range gs {
+		it, ok := r.queues.Granted(o.w.clock.now, a.target.name, g.Class)
+		if !ok {
+			declines = append(declines, g.Number)
+			continue
+		}
+		o.handOver(a, r, identifier.Grant{Origin: self, Number: g.Number}, it)
+	}
+	o.flush(r)
+	if len(declines) == 0 {
+		return
+	}
+	o.w.gauges.declines += len(declines)
+	o.send(string(r.name), string(a.target.name), messenger.Frame{Declines: declines})
+	o.w.clock.after(o.w.delay(r.index, a.index), func() {
+		for _, id := range declines {
+			o.apply(a, a.sched.Decline(o.w.clock.now, identifier.Grant{Origin: self, Number: id}))
+		}
+	})
+}
+
+// handOver sends a request to its agent, which takes it or refuses it as not
+// run.
+func (o *ours) handOver(a *oursAgent, r *oursRouter, id identifier.Grant, it queuer.Item) {
+	j := r.jobs[it.Request]
+	o.w.clock.after(o.w.delay(r.index, a.index), func() {
+		if !a.target.dead {
+			a.jobs[j.id] = j
+			a.from[j.id] = r
+			acts, err := a.sched.Accept(o.w.clock.now, id, scheduler.Handover{Request: j.id, Class: j.class, Resumable: !a.target.service})
+			if err == nil {
+				delete(r.jobs, j.id)
+				o.w.gauges.leave(j)
+				o.apply(a, acts)
+				return
+			}
+			delete(a.jobs, j.id)
+		}
+		r.queues.Return(it)
+		o.flush(r)
+	})
+}
+
+func (o *ours) token(t *target, j *job) {
+	a := o.byName[t.name]
+	a.sched.Progress(o.w.clock.now, j.id, j.served)
+}
+
+func (o *ours) ended(t *target, j *job) {
+	a := o.byName[t.name]
+	delete(a.jobs, j.id)
+	delete(a.from, j.id)
+	o.apply(a, a.sched.Finish(o.w.clock.now, j.id, j.served))
+}
+
+// publish sends an agent's counters to the others of its pool.
+func (o *ours) publish(a *oursAgent) {
+	if a.target.dead {
+		return
+	}
+	for _, b := range o.agents {
+		if a == b || a.target.pool != b.target.pool {
+			continue
+		}
+		rows, upto := a.table.Since(a.sent[b], maxRows, false)
+		if len(rows) == 0 {
+			continue
+		}
+		o.send(string(a.target.name), string(b.target.name), messenger.Frame{Counters: &messenger.Counters{Rows: rows}})
+		if o.cutAgents(a, b) || b.target.dead {
+			continue
+		}
+		if o.lossy && o.w.rng.Float64() < lossRate {
+			continue // The cursor stays, as on a link that is opened anew.
+		}
+		a.sent[b] = upto
+		o.merge(a, b, rows)
+		if o.lossy && o.w.rng.Float64() < doubleRate {
+			o.merge(a, b, rows)
+		}
+	}
+}
+
+func (o *ours) merge(a, b *oursAgent, rows []counter.Row) {
+	life := b.lives
+	o.w.clock.after(o.w.delay(a.index, b.index), func() {
+		if b.lives != life {
+			return
+		}
+		for _, r := range rows {
+			b.table.Merge(r)
+		}
+	})
+}
+
+// maxRows bounds the rows in one message.
+const maxRows = 512
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -3,9 +3,6 @@
 import (
 	"fmt"
 
-	"github.com/fxamacker/cbor/v2"
-	"github.com/pkg/errors"
-
 	"buckthorndrum/configurator"
 	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
@@ -25,25 +22,25 @@
 // may be absent.
 type Frame struct {
 	// Revision is the configuration revision that the sender has in force.
-	Revision identifier.Revision `cbor:"1,keyasint,omitempty"`
+	Revision identifier.Revision
 	// Hello is the first frame in each direction.
-	Hello *Hello `cbor:"2,keyasint,omitempty"`
+	Hello *Hello
 	// Offers go from a router to an agent.
-	Offers []scheduler.Offer `cbor:"3,keyasint,omitempty"`
+	Offers []scheduler.Offer
 	// Grants go from an agent to a router.
-	Grants []Grant `cbor:"4,keyasint,omitempty"`
-	// Declines return grants for which the router had nothing.
-	Declines []identifier.Grant `cbor:"5,keyasint,omitempty"`
+	Grants []Grant
+	// Declines are the numbers of the grants for which the router had nothing.
+	Declines []uint64
 	// Load goes from an agent to a router.
-	Load *scheduler.Load `cbor:"6,keyasint,omitempty"`
+	Load *scheduler.Load
 	// Counters go between agents.
-	Counters *Counters `cbor:"7,keyasint,omitempty"`
+	Counters *Counters
 	// Want asks for configuration.
-	Want *Want `cbor:"8,keyasint,omitempty"`
+	Want *Want
 	// Config brings configuration.
-	Config *Config `cbor:"9,keyasint,omitempty"`
+	Config *Config
 	// Leaving tells that the sender takes no new work.
-	Leaving bool `cbor:"10,keyasint,omitempty"`
+	Leaving bool
 }
 
 // Hello introduces the sender.
@@ -60,15 +57,16 @@
 
 // Grant permits the receiver to hand over one request of Class.
 type Grant struct {
-	ID    identifier.Grant `cbor:"1,keyasint"`
-	Class identifier.Class `cbor:"2,keyasint"`
+	// Number is the grant's number in the sender's incarnation.
+	Number uint64
+	Class  identifier.Class
 }
 
 // Counters brings counter rows.
 type Counters struct {
-	Rows []counter.Row `cbor:"1,keyasint,omitempty"`
+	Rows []counter.Row
 	// Relay asks the receiver to send rows of other origins too.
-	Relay bool `cbor:"2,keyasint,omitempty"`
+	Relay bool
 }
 
 // Want asks a peer for configuration.
@@ -90,71 +88,6 @@
 // MaxFrame bounds one encoded frame, in bytes.
 const MaxFrame = 2 << 20
 
-// maxList bounds the length of any list in a frame.
-const maxList = 1 << 16
-
-// Encode renders a frame.
-func Encode(f Frame) ([]byte, error) {
-	raw, err := cbor.Marshal(f)
-	return raw, errors.Wrap(err, "encode frame")
-}
-
-// Decode reads and checks a frame.
-func Decode(raw []byte) (Frame, error) {
-	var f Frame
-	if err := decMode.Unmarshal(raw, &f); err != nil {
-		return Frame{}, errors.Wrap(err, "decode frame")
-	}
-	if err := f.Check(); err != nil {
-		return Frame{}, errors.Wrap(err, "check frame")
-	}
-	return f, nil
-}
-
-var decMode = newDecMode()
-
-func newDecMode() cbor.DecMode {
-	m, err := cbor.DecOptions{MaxArrayElements: maxList, MaxMapPairs: maxList, MaxNestedLevels: maxNesting}.DecMode()
-	if err != nil {
-		panic(err) // The options are constant.
-	}
-	return m
-}
-
-// maxNesting bounds how deep a frame nests.
-const maxNesting = 16
-
-// Check reports the first fault of a decoded frame.
-func (f Frame) Check() error {
-	if f.Hello != nil {
-		if err := f.Hello.check(); err != nil {
-			return err
-		}
-	}
-	for _, o := range f.Offers {
-		if err := checkClass(o.Class); err != nil {
-			return err
-		}
-		if o.Count < 0 || o.Age < 0 || o.Hint < 0 {
-			return fmt.Errorf("offer of kind %q of workspace %q is negative", o.Class.Kind, o.Class.Workspace)
-		}
-	}
-	for _, g := range f.Grants {
-		if err := checkClass(g.Class); err != nil {
-			return err
-		}
-	}
-	if f.Counters == nil {
-		return nil
-	}
-	for _, r := range f.Counters.Rows {
-		if err := r.Check(); err != nil {
-			return err
-		}
-	}
-	return nil
-}
-
 func (h Hello) check() error {
 	if h.Role != RouterRole && h.Role != AgentRole {
 		return fmt.Errorf("role %q is neither %q nor %q", h.Role, RouterRole, AgentRole)
--- a/queuer/offers.go
+++ b/queuer/offers.go
@@ -178,7 +178,7 @@
 	return scheduler.Offer{
 		Class:  q.id.class,
 		Count:  len(q.items) + s.twin(q, t),
-		Age:    int64(now - head.Arrived),
+		Age:    now.Sub(head.Arrived),
 		Hint:   head.Hint,
 		Prefix: head.Prefix,
 	}
--- a/router/links.go
+++ b/router/links.go
@@ -144,10 +144,10 @@
 
 // granted hands a waiting request to each grant, or declines it.
 func (r *Router) granted(t identifier.Target, a *agentLink, gs []messenger.Grant) {
-	var declines []identifier.Grant
+	var declines []uint64
 	for _, g := range gs {
 		if !r.grant(t, a, g) {
-			declines = append(declines, g.ID)
+			declines = append(declines, g.Number)
 		}
 	}
 	if len(declines) > 0 {
@@ -164,7 +164,7 @@
 	if c == nil {
 		return false
 	}
-	c.grants <- granted{id: g.ID, address: a.address}
+	c.grants <- granted{id: identifier.Grant{Origin: a.origin, Number: g.Number}, address: a.address}
 	return true
 }
 
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -102,6 +102,9 @@
 
 // holds tells whether the target holds the prefix of an open offer of c.
 func (s *Scheduler) holds(c *class) bool {
+	if c.opened == 0 {
+		return false
+	}
 	for _, o := range c.offers {
 		if o.open() && o.prefix != 0 && s.prefixes.held(o.prefix) {
 			return true
@@ -120,9 +123,9 @@
 		return false
 	}
 	cost := s.cfg.estimate(c.id.Kind, o.hint)
-	o.granted++
+	c.change(o, func() { o.granted++ })
 	s.number++
-	g := &grant{class: c.id, router: r, lane: lane, cost: cost, prefix: o.prefix, expires: now.Add(s.cfg.GrantTTL)}
+	g := &grant{class: c.id, router: r, lane: lane, cost: cost, prefix: o.prefix, issued: now, expires: now.Add(s.cfg.GrantTTL)}
 	s.grants[s.number] = g
 	s.charge(g.class.Workspace, cost)
 	s.lanes.charge(lane, cost)
--- a/scheduler/offer.go
+++ b/scheduler/offer.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"buckthorndrum/identifier"
 )
@@ -9,15 +10,15 @@
 // Offer tells an agent what one router has waiting of one class. A count of
 // zero withdraws the offer.
 type Offer struct {
-	Class identifier.Class `cbor:"1,keyasint"`
+	Class identifier.Class
 	// Count is how many requests wait, rounded as the router likes.
-	Count int `cbor:"2,keyasint"`
-	// Age is how long the oldest one has waited, in nanoseconds.
-	Age int64 `cbor:"3,keyasint,omitempty"`
+	Count int
+	// Age is how long the oldest one has waited.
+	Age time.Duration
 	// Hint is the expected cost of the first one, zero if unknown.
-	Hint identifier.Cost `cbor:"4,keyasint,omitempty"`
+	Hint identifier.Cost
 	// Prefix is the hash of the first one's prompt prefix, zero if none.
-	Prefix uint64 `cbor:"5,keyasint,omitempty"`
+	Prefix uint64
 }
 
 // offer is an Offer as held here.
@@ -32,25 +33,39 @@
 
 func (o *offer) open() bool { return o.count > o.granted }
 
+// change applies f to offer o of class c and keeps the count of open offers.
+func (c *class) change(o *offer, f func()) {
+	before := o.open()
+	f()
+	switch after := o.open(); {
+	case after && !before:
+		c.opened++
+	case before && !after:
+		c.opened--
+	}
+}
+
+// remove takes back the offer of router r.
+func (c *class) remove(r identifier.Router) {
+	o := c.offers[r]
+	if o == nil {
+		return
+	}
+	c.change(o, func() { o.count = 0 })
+	delete(c.offers, r)
+}
+
 // class collects the offers of one class.
 type class struct {
 	id     identifier.Class
 	offers map[identifier.Router]*offer
+	// opened is how many of the offers are open.
+	opened int
 	// parked are preempted requests of this class, the oldest first.
 	parked []identifier.Request
 }
 
-func (c *class) open() bool {
-	if len(c.parked) > 0 {
-		return true
-	}
-	for _, o := range c.offers {
-		if o.open() {
-			return true
-		}
-	}
-	return false
-}
+func (c *class) open() bool { return len(c.parked) > 0 || c.opened > 0 }
 
 func (c *class) empty() bool { return len(c.offers) == 0 && len(c.parked) == 0 }
 
@@ -92,7 +107,7 @@
 // stay valid until they expire, for the router may still be handing over.
 func (s *Scheduler) DropRouter(now identifier.Instant, r identifier.Router) {
 	for _, c := range s.classes {
-		delete(c.offers, r)
+		c.remove(r)
 		s.tidy(now, c)
 	}
 }
@@ -103,7 +118,7 @@
 	}
 	c := s.class(in.Class)
 	if in.Count <= 0 {
-		delete(c.offers, r)
+		c.remove(r)
 		s.tidy(now, c)
 		return
 	}
@@ -112,8 +127,8 @@
 		o = &offer{}
 		c.offers[r] = o
 	}
-	o.count = in.Count
-	o.oldest = now - identifier.Instant(in.Age)
+	c.change(o, func() { o.count = in.Count })
+	o.oldest = now.Add(-in.Age)
 	o.hint = in.Hint
 	o.prefix = in.Prefix
 	s.seen(now, in.Class.Workspace)
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -29,6 +29,11 @@
 	// busy is the time in the window that was spent running, over all runs.
 	busy time.Duration
 	last identifier.Instant
+	// trip is the mean time from a grant to its request.
+	trip time.Duration
+	// interval is the mean time between two ends while all slots are taken.
+	interval time.Duration
+	ended    identifier.Instant
 }
 
 func newPace(slots int) pace { return pace{slots: slots, most: slots} }
@@ -55,6 +60,37 @@
 	p.last = now
 }
 
+// meanWindow is over how many events a mean time is taken.
+const meanWindow = 8
+
+// accepted notes that a grant has come back as a request after d.
+func (p *pace) accepted(d time.Duration) { p.trip = mean(p.trip, d) }
+
+// finished notes that one of running requests has ended.
+func (p *pace) finished(now identifier.Instant, running int) {
+	if p.ended != 0 && running >= p.slots {
+		p.interval = mean(p.interval, now.Sub(p.ended))
+	}
+	p.ended = now
+}
+
+func mean(old, v time.Duration) time.Duration {
+	if old == 0 {
+		return v
+	}
+	return old + (v-old)/meanWindow
+}
+
+// ahead is how many slots are likely to fall free while a grant is on its way,
+// rounded, and at most limit. What is granted ahead can no longer be ordered,
+// so that it is no more than needed.
+func (p *pace) ahead(limit int) int {
+	if p.interval <= 0 {
+		return min(1, limit)
+	}
+	return min(limit, int((p.trip+p.interval/2)/p.interval))
+}
+
 // tick closes a window and moves the slots by one towards the token target.
 func (p *pace) tick(now identifier.Instant, cfg Config, running int) {
 	p.accrue(now, running)
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -13,6 +13,7 @@
 	lane    identifier.Kind
 	cost    identifier.Cost
 	prefix  uint64
+	issued  identifier.Instant
 	expires identifier.Instant
 }
 
@@ -61,6 +62,7 @@
 	if _, doubled := s.runs[h.Request]; doubled {
 		return Actions{}, ErrGrantVoid{Grant: id, Class: h.Class}
 	}
+	s.pace.accepted(now.Sub(g.issued))
 	s.forget(id.Number, g)
 	s.consume(now, g)
 	s.prefixes.sent(g.prefix)
@@ -77,9 +79,9 @@
 		return
 	}
 	o := c.offers[g.router]
-	o.count--
+	c.change(o, func() { o.count-- })
 	if o.count <= 0 {
-		delete(c.offers, g.router)
+		c.remove(g.router)
 	}
 	s.tidy(now, c)
 }
@@ -102,7 +104,7 @@
 	if c == nil || c.offers[g.router] == nil {
 		return
 	}
-	delete(c.offers, g.router)
+	c.remove(g.router)
 	s.tidy(now, c)
 }
 
@@ -137,6 +139,7 @@
 		s.tidy(now, c)
 	}
 	if u.atTarget {
+		s.pace.finished(now, s.running)
 		s.running--
 	}
 	return s.fill(now)
@@ -168,7 +171,7 @@
 		return
 	}
 	if o := c.offers[g.router]; o != nil && o.granted > 0 {
-		o.granted--
+		c.change(o, func() { o.granted-- })
 	}
 }
 
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -124,7 +124,9 @@
 	}
 	s.establish(now)
 	s.pace.tick(now, s.cfg, s.running)
-	return s.fill(now)
+	acts := s.fill(now)
+	s.preempt(now, &acts)
+	return acts
 }
 
 // fill starts queued work and issues grants while there is room.
@@ -136,7 +138,6 @@
 			break
 		}
 	}
-	s.preempt(now, &acts)
 	return acts
 }
 
@@ -144,5 +145,5 @@
 	if s.pace.stuck(now, s.cfg, s.running) {
 		return 0
 	}
-	return s.pace.slots + s.cfg.Ahead - s.running - len(s.queued) - len(s.grants)
+	return s.pace.slots + s.pace.ahead(s.cfg.MaxAhead) - s.running - len(s.queued) - len(s.grants)
 }
