--- /dev/null
+++ b/spec/revision.pml
@@ -0,0 +1,90 @@
+/* Configuration revisions: compare-and-swap at a store that may answer with an
+ * old value, and adoption from the store and from peers.
+ *
+ * Properties: no process goes back to a lower revision, and one revision never
+ * stands for two different documents.
+ *
+ * BACK and BLIND each switch on one fault; the check must refute both.
+ */
+
+#define PROCS 3
+#define WRITERS 2
+#define LAST 4
+
+byte stored = 0;              /* The revision in the store. */
+byte before = 0;              /* What the store held before; it may show it. */
+byte author[5];               /* Who wrote each revision. */
+byte rev[PROCS];              /* The revision in force at each process. */
+
+inline adopt(p, r) {
+	atomic {
+		old = rev[p];
+#ifdef BACK
+		rev[p] = r;
+#else
+		if
+		:: r > rev[p] -> rev[p] = r
+		:: else -> skip
+		fi;
+#endif
+		assert(rev[p] >= old);
+		old = 0
+	}
+}
+
+/* An operator changes the document at a process. */
+active [WRITERS] proctype Writer() {
+	byte me = _pid + 1;
+	byte seen;
+	byte n = 0;
+	do
+	:: n < 2 ->
+		n++;
+		if
+		:: seen = stored
+		:: seen = before
+		fi;
+		if
+		:: seen >= LAST -> skip
+		:: else ->
+			atomic {
+				if
+#ifdef BLIND
+				:: true ->
+#else
+				:: stored == seen ->
+#endif
+					assert(author[seen + 1] == 0 || author[seen + 1] == me);
+					before = stored;
+					stored = seen + 1;
+					author[seen + 1] = me
+				:: else -> skip
+				fi;
+				seen = 0
+			}
+		fi
+	:: n >= 2 -> break
+	od
+}
+
+/* A process reads the store or hears from a peer. */
+active [PROCS] proctype Process() {
+	byte self = _pid - WRITERS;
+	byte n = 0;
+	byte got;
+	byte old;
+	do
+	:: n < 2 ->
+		n++;
+		if
+		:: got = stored
+		:: got = before
+		:: got = rev[0]
+		:: got = rev[1]
+		:: got = rev[2]
+		fi;
+		adopt(self, got);
+		got = 0
+	:: n >= 2 -> break
+	od
+}
