scheduler: preempt once, for the kind that lacks most

Its trace: it was resumed by the tick, chosen as the latest started victim and resumed again in the same tick, so that two starts followed one cancel. In the agent the second start would have blocked under the board's lock. Change: a run is left alone for a second after it starts, the room goes to the kind that lacks most, and a second start is dropped. A full pool is told of an urgent queue at once; counters keep to a byte budget instead of a fixed interval.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"buckthorndrum/configurator"
+	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
 	"buckthorndrum/linker"
 	"buckthorndrum/messenger"
@@ -25,8 +26,6 @@
 const (
 	// tick is how often the scheduler is driven without another event.
 	tick = 5 * time.Millisecond
-	// counterEvery is how often counters are published.
-	counterEvery = 500 * time.Millisecond
 	// beatEvery is how often routers are told of the target's load.
 	beatEvery = 2 * time.Second
 	// housekeepEvery is how often old answers are dropped and peers are dialled.
@@ -45,6 +44,8 @@
 	log     *zap.Logger
 	traffic linker.Traffic
 	metrics *metrics
+	// pacer spaces the publishing of counters.
+	pacer   counter.Pacer
 	client  *http.Client
 	links   *http.Client
 	server  *http.Server
@@ -90,6 +91,7 @@
 		sign:    signer.New(cfg.Security.Secret),
 		log:     cfg.Log.Named("agent").With(zap.String("target", string(cfg.Target))),
 		metrics: newMetrics(),
+		pacer:   counter.Pacer{Budget: counter.DefaultBudget},
 		client:  newTargetClient(),
 		links:   sec.LinkClient(),
 		address: address,
@@ -141,7 +143,7 @@
 // loop drives what happens by time.
 func (a *Agent) loop() {
 	ticks := time.NewTicker(tick)
-	counters := time.NewTicker(counterEvery)
+	counters := time.NewTimer(counter.MinInterval)
 	house := time.NewTicker(housekeepEvery)
 	beats := time.NewTicker(beatEvery)
 	defer beats.Stop()
@@ -153,7 +155,7 @@
 		case <-ticks.C:
 			a.tick()
 		case <-counters.C:
-			a.publish()
+			counters.Reset(a.pacer.Next(a.publish()))
 		case <-house.C:
 			a.housekeep()
 		case <-beats.C:
@@ -190,7 +192,7 @@
 	}
 	for _, id := range acts.Starts {
 		if rec := a.board.records[id]; rec != nil {
-			rec.start <- struct{}{}
+			rec.resume()
 		}
 	}
 }
--- a/agent/links.go
+++ b/agent/links.go
@@ -116,6 +116,9 @@
 	for _, l := range a.board.routers {
 		a.send(l, a.status())
 	}
+	for _, p := range a.board.peers {
+		a.send(p.link, messenger.Frame{})
+	}
 }
 
 // dialPeers opens the links to other agents that are missing. Of two agents the
@@ -213,11 +216,13 @@
 const maxRows = 512
 
 // publish sends each peer the rows that changed since the last time. A link
-// loses nothing while it lasts, and a new one starts from the first row.
-func (a *Agent) publish() {
+// loses nothing while it lasts, and a new one starts from the first row. It
+// returns how many bytes that took.
+func (a *Agent) publish() int {
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
 	relay := a.wantsRelay()
+	before := a.traffic.Queued.Load()
 	for _, p := range a.board.peers {
 		if p.link == nil {
 			continue
@@ -229,8 +234,11 @@
 			f.Counters = &messenger.Counters{Rows: rows, Relay: relay}
 			p.told = relay
 		}
-		a.send(p.link, f)
+		if f.Counters != nil {
+			a.send(p.link, f)
+		}
 	}
+	return int(a.traffic.Queued.Load() - before)
 }
 
 // wantsRelay tells whether a peer is not linked, so that its rows have to come
--- a/agent/record.go
+++ b/agent/record.go
@@ -50,6 +50,15 @@
 // total is how many tokens the answer has so far.
 func (r *record) total() int { return r.first + len(r.tokens) }
 
+// resume lets the request go to the target. A second call before it has gone
+// changes nothing.
+func (r *record) resume() {
+	select {
+	case r.start <- struct{}{}:
+	default:
+	}
+}
+
 func (r *record) wake() {
 	close(r.changed)
 	r.changed = make(chan struct{})
--- a/linker/link.go
+++ b/linker/link.go
@@ -37,11 +37,13 @@
 	done    chan struct{}
 	once    sync.Once
 	// sent and received count bytes of frames.
-	sent, received *atomic.Int64
+	sent, received, queued *atomic.Int64
 }
 
 // Traffic counts the control bytes of one process over all its links.
 type Traffic struct {
+	// Queued counts what was given to links to send.
+	Queued   atomic.Int64
 	Sent     atomic.Int64
 	Received atomic.Int64
 }
@@ -69,7 +71,7 @@
 
 func join(ctx context.Context, conn *websocket.Conn, self messenger.Hello, t *Traffic, peer string) (*Link, error) {
 	conn.SetReadLimit(messenger.MaxFrame)
-	l := &Link{conn: conn, coder: messenger.NewCoder(), out: make(chan []byte, sendQueue), done: make(chan struct{}), sent: &t.Sent, received: &t.Received}
+	l := &Link{conn: conn, coder: messenger.NewCoder(), out: make(chan []byte, sendQueue), done: make(chan struct{}), sent: &t.Sent, received: &t.Received, queued: &t.Queued}
 	hello, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	if err := l.greet(hello, self); err != nil {
@@ -133,6 +135,7 @@
 	}
 	select {
 	case l.out <- raw:
+		l.queued.Add(int64(len(raw)))
 		return nil
 	case <-l.done:
 		return errors.Errorf("send to %s %s: link is closed", l.Peer.Role, l.Peer.Name)
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
 )
 
@@ -123,7 +124,7 @@
 			largest = max(largest, k.most)
 		}
 	}
-	age := publishEvery + agentTick + size.Latency
+	age := counter.MaxInterval + agentTick + size.Latency
 	if sc.Fault == AgentsCut || sc.Fault == CountersLossy {
 		age += (sc.Length - settle) / 3
 	}
--- a/measurer/ours.go
+++ b/measurer/ours.go
@@ -17,7 +17,6 @@
 const (
 	routerTick   = 2 * time.Millisecond
 	agentTick    = 5 * time.Millisecond
-	publishEvery = 500 * time.Millisecond
 	beatEvery    = 2 * time.Second
 	creditWindow = 2048
 	maxAhead     = 8
@@ -160,11 +159,9 @@
 			}
 		}
 	})
-	c.every(publishEvery, func() {
-		for _, a := range o.agents {
-			o.publish(a)
-		}
-	})
+	for _, a := range o.agents {
+		o.publishOften(a)
+	}
 	c.every(beatEvery, o.beat)
 	c.every(sampleEvery, o.w.gauges.sample)
 	c.every(levelEvery, o.sampleLevels)
@@ -222,10 +219,12 @@
 	return c
 }
 
-// send counts a frame on its way.
-func (o *ours) send(from, to string, f messenger.Frame) {
+// send counts a frame on its way and returns its size.
+func (o *ours) send(from, to string, f messenger.Frame) int {
 	f.Revision = 1
-	o.w.gauges.traffic(from, to, o.size(from, to, f))
+	n := o.size(from, to, f)
+	o.w.gauges.traffic(from, to, n)
+	return n
 }
 
 // size is what a frame takes on the wire.
@@ -391,11 +390,19 @@
 	o.apply(a, a.sched.Finish(o.w.clock.now, j.id, j.served))
 }
 
-// publish sends an agent's counters to the others of its pool.
-func (o *ours) publish(a *oursAgent) {
+// publishOften publishes an agent's counters as often as its budget allows.
+func (o *ours) publishOften(a *oursAgent) {
+	pacer := counter.Pacer{Budget: counter.DefaultBudget}
+	o.w.clock.after(pacer.Next(o.publish(a)), func() { o.publishOften(a) })
+}
+
+// publish sends an agent's counters to the others of its pool and returns how
+// many bytes that took.
+func (o *ours) publish(a *oursAgent) int {
 	if a.target.dead {
-		return
+		return 0
 	}
+	bytes := 0
 	for _, b := range o.agents {
 		if a == b || a.target.pool != b.target.pool {
 			continue
@@ -404,7 +411,7 @@
 		if len(rows) == 0 {
 			continue
 		}
-		o.send(string(a.target.name), string(b.target.name), messenger.Frame{Counters: &messenger.Counters{Rows: rows}})
+		bytes += o.send(string(a.target.name), string(b.target.name), messenger.Frame{Counters: &messenger.Counters{Rows: rows}})
 		if o.cutAgents(a, b) || b.target.dead {
 			continue
 		}
@@ -417,6 +424,7 @@
 			o.merge(a, b, rows)
 		}
 	}
+	return bytes
 }
 
 func (o *ours) merge(a, b *oursAgent, rows []counter.Row) {
--- a/queuer/offers.go
+++ b/queuer/offers.go
@@ -206,7 +206,8 @@
 }
 
 // reach returns to how many agents queue q is offered now, in the order of its
-// rank. It doubles each time the head has waited WidenAfter longer. A kind that
+// rank. It doubles each time the head has waited WidenAfter longer, and is the
+// whole pool at once if none of it has room. A kind that
 // usually waits long goes at first only to agents with room and to the first
 // few, and to the others when the head has waited longer than usual.
 func (s *Queuer) reach(now identifier.Instant, q *queue) int {
@@ -216,9 +217,14 @@
 	first := max(s.cfg.FirstFanout, 1)
 	waited := now.Sub(q.head().Arrived)
 	n := doubled(first, waited, s.cfg.WidenAfter, len(q.rank))
-	if usual := s.usual(q.id.class); usual >= s.cfg.LongWait {
+	roomy := s.roomy(q)
+	usual := s.usual(q.id.class)
+	switch {
+	case usual >= s.cfg.LongWait:
 		late := doubled(first, waited-longerThanUsual*usual, s.cfg.WidenAfter, len(q.rank))
-		n = max(min(n, s.roomy(q)), late)
+		n = max(min(n, roomy), late)
+	case roomy == 0:
+		n = len(q.rank)
 	}
 	return min(n, len(q.rank))
 }
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -1,17 +1,29 @@
 package scheduler
 
-import "buckthorndrum/identifier"
+import (
+	"time"
+
+	"buckthorndrum/identifier"
+)
+
+// minRun is how long a run is left alone once it has started or resumed, so
+// that preemption cannot thrash.
+const minRun = time.Second
 
 // preempt cancels one borrowed, resumable run when a kind waits that holds
-// less than its guaranteed share of the slots.
+// less than its guaranteed share of the slots, and gives that kind the room.
 func (s *Scheduler) preempt(now identifier.Instant, acts *Actions) {
 	if s.cfg.PreemptAfter <= 0 || s.draining || now.Sub(s.preempted) < s.cfg.PreemptAfter {
 		return
 	}
-	if s.room(now) > 0 || !s.deprived() {
+	if s.room(now) > 0 {
+		return
+	}
+	kind, found := s.deprived()
+	if !found {
 		return
 	}
-	r, u := s.victim()
+	r, u := s.victim(now)
 	if u == nil {
 		return
 	}
@@ -23,20 +35,25 @@
 	s.settle(u)
 	acts.Preempts = append(acts.Preempts, r)
 	s.startQueued(now, acts)
-	if s.room(now) > 0 {
-		s.grantNext(now, acts)
+	if next := s.choose(kind); next != nil && s.room(now) > 0 {
+		s.serve(now, kind, next, acts)
 	}
 }
 
-// deprived tells whether a kind waits that holds less than its share of slots.
-func (s *Scheduler) deprived() bool {
+// deprived returns a kind that waits and holds less than its share of slots,
+// the one that lacks most.
+func (s *Scheduler) deprived() (identifier.Kind, bool) {
 	held := s.held()
-	for k := range s.waitingKinds() {
-		if float64(held[k]+1) <= s.cfg.Kinds[k].Share*float64(s.pace.slots) {
-			return true
+	waiting := s.waitingKinds()
+	var worst identifier.Kind
+	most := 0.0
+	for _, k := range s.cfg.kindNames() {
+		lack := s.cfg.Kinds[k].Share*float64(s.pace.slots) - float64(held[k])
+		if waiting[k] && lack >= 1 && lack > most {
+			worst, most = k, lack
 		}
 	}
-	return false
+	return worst, most > 0
 }
 
 // held returns how many slots each kind holds or is about to hold.
@@ -57,14 +74,14 @@
 
 // victim returns the latest started resumable run of the kind that holds most
 // beyond its share, or nil if no kind holds more than its share.
-func (s *Scheduler) victim() (identifier.Request, *run) {
+func (s *Scheduler) victim(now identifier.Instant) (identifier.Request, *run) {
 	held := s.held()
 	var id identifier.Request
 	var best *run
 	var bestOver float64
 	for r, u := range s.runs {
 		over := float64(held[u.class.Kind]) - s.cfg.Kinds[u.class.Kind].Share*float64(s.pace.slots)
-		if !u.atTarget || !u.resumable || over < 1 {
+		if !u.atTarget || !u.resumable || over < 1 || now.Sub(u.started) < minRun {
 			continue
 		}
 		if best == nil || over > bestOver || (over == bestOver && laterRun(r, u, id, best)) {
