--- /dev/null
+++ b/counter/counter_test.go
@@ -0,0 +1,112 @@
+package counter_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"buckthorndrum/counter"
+	"buckthorndrum/identifier"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.checks", "2000")
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+var spaces = []identifier.Workspace{"a", "b", "c"}
+
+func origin(i int) identifier.Origin {
+	return identifier.Origin{Target: identifier.Target(rune('a' + i)), Incarnation: 1}
+}
+
+// TestConvergence charges, refunds and rebases at several processes whose
+// messages are lost, repeated and reordered, and checks that all agree with a
+// simple sum once everything has been told.
+func TestConvergence(t *testing.T) {
+	const processes = 4
+	rapid.Check(t, func(t *rapid.T) {
+		tables := make([]*counter.Table, processes)
+		cursors := make([][processes]counter.Cursor, processes)
+		for i := range tables {
+			tables[i] = counter.New(counter.Config{Self: origin(i)})
+		}
+		var rows []counter.Row
+		pick := func(what string) int { return rapid.IntRange(0, processes-1).Draw(t, what) }
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			i, w := pick("process"), spaces[rapid.IntRange(0, 2).Draw(t, "workspace")]
+			c := identifier.Cost(rapid.IntRange(0, 100).Draw(t, "cost"))
+			switch rapid.IntRange(0, 4).Draw(t, "event") {
+			case 0:
+				tables[i].Charge(w, c)
+			case 1:
+				tables[i].Refund(w, c)
+			case 2:
+				tables[i].Rebase(w, c)
+			case 3:
+				told := tables[i].Next(&cursors[i][pick("peer")], 3, rapid.Bool().Draw(t, "relay"))
+				rows = append(rows, told...) // Sent, and perhaps lost or late.
+			case 4:
+				if len(rows) > 0 {
+					tables[i].Merge(1, rows[rapid.IntRange(0, len(rows)-1).Draw(t, "row")])
+				}
+			}
+		}
+		settle(tables)
+		for _, w := range spaces {
+			want := tables[0].Level(w)
+			if want < 0 {
+				t.Fatalf("level of %s is %d", w, want)
+			}
+			for i := range tables {
+				if got := tables[i].Level(w); got != want {
+					t.Fatalf("process %d has level %d of %s, process 0 has %d", i, got, w, want)
+				}
+			}
+		}
+	})
+}
+
+// settle tells every process everything, twice, for periods may change in the
+// first round.
+func settle(tables []*counter.Table) {
+	for range 2 {
+		for _, from := range tables {
+			for _, to := range tables {
+				var c counter.Cursor
+				for !c.Caught() {
+					for _, r := range from.Next(&c, 2, true) {
+						to.Merge(1, r)
+					}
+				}
+			}
+		}
+	}
+}
+
+// TestSum compares one period without faults with a plain sum.
+func TestSum(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := counter.New(counter.Config{Self: origin(0)}), counter.New(counter.Config{Self: origin(1)})
+		var sum identifier.Cost
+		for range rapid.IntRange(1, 30).Draw(t, "events") {
+			table := a
+			if rapid.Bool().Draw(t, "second") {
+				table = b
+			}
+			c := identifier.Cost(rapid.IntRange(1, 100).Draw(t, "charge"))
+			back := identifier.Cost(rapid.IntRange(0, int(c)).Draw(t, "refund"))
+			table.Charge("w", c)
+			table.Refund("w", back)
+			sum += c - back
+		}
+		settle([]*counter.Table{a, b})
+		if a.Level("w") != sum || b.Level("w") != sum {
+			t.Fatalf("levels are %d and %d, the sum is %d", a.Level("w"), b.Level("w"), sum)
+		}
+	})
+}
