queuer: keep what an agent was told by class

Cause: the fuzzer found requests that an agent never heard of. A class has a free queue and one for each target to which requests are bound; agents know the class only, but what they were told was kept by queue, so that a grant served from one queue was booked on the other. Change: one group for each class with its queues and what each agent was told.

--- a/queuer/offers.go
+++ b/queuer/offers.go
@@ -42,8 +42,8 @@
 		return
 	}
 	delete(s.agents, t)
-	for _, q := range s.queues {
-		delete(q.told, t)
+	for _, g := range s.groups {
+		delete(g.told, t)
 	}
 	s.rerank(a.pool)
 }
@@ -58,27 +58,26 @@
 	return false
 }
 
-// rerank orders the agents anew for all queues of a pool.
+// rerank orders the agents anew for all classes of a pool.
 func (s *Queuer) rerank(pool identifier.Pool) {
-	for id, q := range s.queues {
-		if len(q.items) == 0 || q.pool != pool {
+	for c, g := range s.groups {
+		if g.pool != pool {
 			continue
 		}
-		q.rank = s.rankFor(q, q.head())
-		s.dirty[id] = true
+		if len(g.free.items) > 0 {
+			g.rank = s.rankFor(pool, g.free.head())
+		}
+		s.dirty[c] = true
 	}
 }
 
-// rankFor orders the agents that may serve queue q: those with room first,
-// then those in the same data centre, then by a hash that keeps a prefix with
-// one agent and spreads everything else.
-func (s *Queuer) rankFor(q *queue, head *Item) []identifier.Target {
-	if q.id.bound != "" {
-		return []identifier.Target{q.id.bound}
-	}
+// rankFor orders the agents of a pool for a queue with this head: those with
+// room first, then those in the same data centre, then by a hash that keeps a
+// prefix with one agent and spreads everything else.
+func (s *Queuer) rankFor(pool identifier.Pool, head *Item) []identifier.Target {
 	var found []ranked
 	for t, a := range s.agents {
-		if a.pool == q.pool {
+		if a.pool == pool {
 			found = append(found, ranked{t, a.room <= 0, !a.near, s.spread(head, t)})
 		}
 	}
@@ -128,76 +127,68 @@
 }
 
 // Updates returns what the agents have to be told now. An agent is told of a
-// queue again only when the count it holds is off by more than half, or the
-// queue has emptied.
+// class again only when the count it holds is off by more than half, or nothing
+// waits any more.
 func (s *Queuer) Updates(now identifier.Instant) []Update {
 	s.wake(now)
 	byTarget := map[identifier.Target][]scheduler.Offer{}
-	for id := range s.dirty {
-		q := s.queues[id]
-		delete(s.dirty, id)
-		if q == nil || s.batched(now, q) {
+	for c := range s.dirty {
+		g := s.groups[c]
+		delete(s.dirty, c)
+		if g == nil || s.batched(now, g) {
 			continue
 		}
-		s.update(now, q, byTarget)
-		s.dropEmpty(q)
+		s.update(now, g, byTarget)
+		if g.empty() {
+			delete(s.groups, c)
+		}
 	}
 	return sortUpdates(byTarget)
 }
 
-func (s *Queuer) update(now identifier.Instant, q *queue, byTarget map[identifier.Target][]scheduler.Offer) {
-	if len(q.items) == 0 {
-		s.withdraw(q, byTarget)
-		return
-	}
-	reach := s.reach(now, q)
-	if reach < len(q.rank) {
-		s.sleep(q, now.Add(s.widening(now, q)))
+// update tells agents of group g: those that the free queue reaches, those with
+// requests bound to them, and those that were told before.
+func (s *Queuer) update(now identifier.Instant, g *group, byTarget map[identifier.Target][]scheduler.Offer) {
+	for _, t := range g.rank[:s.reach(now, g)] {
+		s.tell(now, g, t, byTarget)
 	}
-	for _, t := range q.rank[:reach] {
-		told, known := q.told[t]
-		if s.agents[t] == nil || (known && !stale(told, len(q.items))) {
-			continue
+	for t, q := range g.bound {
+		s.tell(now, g, t, byTarget)
+		if len(q.items) == 0 {
+			delete(g.bound, t)
 		}
-		q.told[t] = len(q.items)
-		byTarget[t] = append(byTarget[t], s.offer(now, q, t))
 	}
-}
-
-// withdraw takes back the offers of an empty queue.
-func (s *Queuer) withdraw(q *queue, byTarget map[identifier.Target][]scheduler.Offer) {
-	for t, told := range q.told {
-		if told > 0 && s.agents[t] != nil {
-			byTarget[t] = append(byTarget[t], scheduler.Offer{Class: q.id.class, Count: s.twin(q, t)})
-		}
+	for t := range g.told {
+		s.tell(now, g, t, byTarget)
 	}
-	clear(q.told)
 }
 
-// offer sums the queue and the one that is bound to target t, or the other way
-// round, for an agent knows only classes.
-func (s *Queuer) offer(now identifier.Instant, q *queue, t identifier.Target) scheduler.Offer {
-	head := q.head()
-	return scheduler.Offer{
-		Class:  q.id.class,
-		Count:  len(q.items) + s.twin(q, t),
-		Age:    now.Sub(head.Arrived),
-		Hint:   head.Hint,
-		Prefix: head.Prefix,
+// tell offers target t what waits of group g for it, unless it knows.
+func (s *Queuer) tell(now identifier.Instant, g *group, t identifier.Target, byTarget map[identifier.Target][]scheduler.Offer) {
+	if s.agents[t] == nil {
+		delete(g.told, t)
+		return
 	}
-}
-
-// twin returns how many requests target t was offered from the other queue of
-// the same class.
-func (s *Queuer) twin(q *queue, t identifier.Target) int {
-	other := queueID{class: q.id.class}
-	if q.id.bound == "" {
-		other.bound = t
+	count := len(g.free.items)
+	if q := g.bound[t]; q != nil {
+		count += len(q.items)
 	}
-	if o := s.queues[other]; o != nil && o.told[t] > 0 {
-		return len(o.items)
+	told, known := g.told[t]
+	switch {
+	case count == 0 && known && told > 0:
+		byTarget[t] = append(byTarget[t], scheduler.Offer{Class: g.class})
+		delete(g.told, t)
+	case count == 0:
+		delete(g.told, t)
+	case !known || stale(told, count):
+		g.told[t] = count
+		byTarget[t] = append(byTarget[t], s.offer(now, g, t, count))
 	}
-	return 0
+}
+
+func (s *Queuer) offer(now identifier.Instant, g *group, t identifier.Target, count int) scheduler.Offer {
+	head := g.older(t).head()
+	return scheduler.Offer{Class: g.class, Count: count, Age: now.Sub(head.Arrived), Hint: head.Hint, Prefix: head.Prefix}
 }
 
 // stale tells whether a told count misleads an agent about the true one.
@@ -205,28 +196,43 @@
 	return told*2 <= count || told > count*2
 }
 
-// reach returns to how many agents queue q is offered now, in the order of its
-// rank. It doubles each time the head has waited WidenAfter longer, and is the
-// whole pool at once if none of it has room. A kind that
-// usually waits long goes at first only to agents with room and to the first
-// few, and to the others when the head has waited longer than usual.
-func (s *Queuer) reach(now identifier.Instant, q *queue) int {
-	if q.id.bound != "" || s.cfg.WidenAfter <= 0 {
-		return len(q.rank)
+// reach returns to how many agents the free queue of g is offered now, in the
+// order of its rank. It doubles each time the head has waited WidenAfter longer,
+// and is the whole pool at once if none of it has room. A kind that usually
+// waits long goes at first only to agents with room and to the first few, and to
+// the others when the head has waited longer than usual.
+func (s *Queuer) reach(now identifier.Instant, g *group) int {
+	if len(g.free.items) == 0 {
+		return 0
+	}
+	all := len(g.rank)
+	if s.cfg.WidenAfter <= 0 {
+		return all
 	}
 	first := max(s.cfg.FirstFanout, 1)
-	waited := now.Sub(q.head().Arrived)
-	n := doubled(first, waited, s.cfg.WidenAfter, len(q.rank))
-	roomy := s.roomy(q)
-	usual := s.usual(q.id.class)
+	waited := now.Sub(g.free.head().Arrived)
+	n := doubled(first, waited, s.cfg.WidenAfter, all)
+	roomy := s.roomy(g)
+	usual := s.usual(g.class)
 	switch {
 	case usual >= s.cfg.LongWait:
-		late := doubled(first, waited-longerThanUsual*usual, s.cfg.WidenAfter, len(q.rank))
+		late := doubled(first, waited-longerThanUsual*usual, s.cfg.WidenAfter, all)
 		n = max(min(n, roomy), late)
 	case roomy == 0:
-		n = len(q.rank)
+		n = all
+	}
+	if n < all {
+		s.sleep(g, now.Add(s.widening(waited, usual, roomy)))
+	}
+	return min(n, all)
+}
+
+// widening returns after how long the reach of a group may have grown.
+func (s *Queuer) widening(waited, usual time.Duration, roomy int) time.Duration {
+	if usual < s.cfg.LongWait || roomy > 0 {
+		return s.cfg.WidenAfter
 	}
-	return min(n, len(q.rank))
+	return max(s.cfg.WidenAfter, longerThanUsual*usual-waited)
 }
 
 // longerThanUsual is how many times the usual wait counts as longer than usual.
@@ -241,10 +247,10 @@
 	return n
 }
 
-// roomy returns how many of the first agents in q's rank have room.
-func (s *Queuer) roomy(q *queue) int {
+// roomy returns how many of the first agents in g's rank have room.
+func (s *Queuer) roomy(g *group) int {
 	n := 0
-	for n < len(q.rank) && s.agents[q.rank[n]] != nil && s.agents[q.rank[n]].room > 0 {
+	for n < len(g.rank) && s.agents[g.rank[n]] != nil && s.agents[g.rank[n]].room > 0 {
 		n++
 	}
 	return n
--- a/queuer/queue.go
+++ b/queuer/queue.go
@@ -24,32 +24,68 @@
 	Bound identifier.Target
 }
 
-// queueID identifies one queue of a router.
-type queueID struct {
-	class identifier.Class
-	bound identifier.Target
-}
-
-// queue holds the waiting requests of one class, the oldest first.
+// queue holds waiting requests, the oldest first.
 type queue struct {
-	id    queueID
-	pool  identifier.Pool
 	items []*Item
 	// bytes is the sum of the items' bodies.
 	bytes int
-	// rank orders the pool's agents for this queue.
-	rank []identifier.Target
-	// told is the count that each agent holds of this queue.
-	told map[identifier.Target]int
 	// interval is the mean time between two departures while requests wait.
 	interval time.Duration
 	departed identifier.Instant
-	// updated is when agents were last told of the queue.
+}
+
+// group is everything that waits of one class: the requests that any target may
+// run, and those that are bound to one. Agents know only the class, so that what
+// they are told is kept here.
+type group struct {
+	class identifier.Class
+	pool  identifier.Pool
+	free  queue
+	bound map[identifier.Target]*queue
+	// rank orders the pool's agents for the free queue.
+	rank []identifier.Target
+	// told is the count that each agent holds.
+	told map[identifier.Target]int
+	// updated is when agents were last told of the free queue.
 	updated identifier.Instant
-	// wakeAt is when the queue is looked at again, zero if that is not due.
+	// wakeAt is when the group is looked at again, zero if that is not due.
 	wakeAt identifier.Instant
 }
 
+// queue returns the queue for requests bound to t, or the free one.
+func (g *group) queue(t identifier.Target) *queue {
+	if t == "" {
+		return &g.free
+	}
+	q := g.bound[t]
+	if q == nil {
+		q = &queue{}
+		g.bound[t] = q
+	}
+	return q
+}
+
+// older returns the queue from which a grant of target t is served, or nil if
+// nothing waits that t may run.
+func (g *group) older(t identifier.Target) *queue {
+	free, bound := &g.free, g.bound[t]
+	if bound == nil || len(bound.items) == 0 {
+		if len(free.items) == 0 {
+			return nil
+		}
+		return free
+	}
+	if len(free.items) > 0 && free.head().Arrived < bound.head().Arrived {
+		return free
+	}
+	return bound
+}
+
+// empty tells whether nothing waits and no agent was told of anything.
+func (g *group) empty() bool {
+	return len(g.free.items) == 0 && len(g.bound) == 0 && len(g.told) == 0
+}
+
 func (q *queue) head() *Item { return q.items[0] }
 
 // departure updates the mean interval when an item leaves for a target.
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -11,8 +11,9 @@
 // Queuer is the state of one router's decisions. It is not safe for concurrent
 // use.
 type Queuer struct {
-	cfg    Config
-	queues map[queueID]*queue
+	cfg Config
+	// groups hold what waits, by class.
+	groups map[identifier.Class]*group
 	// items are all waiting requests.
 	items map[identifier.Request]*Item
 	// bytes is the size of all waiting bodies, at most MaxBytes.
@@ -24,9 +25,9 @@
 	// forgotten at a refresh.
 	waits     map[identifier.Class]time.Duration
 	kindWaits map[identifier.Kind]time.Duration
-	// dirty are the queues whose offers may have to change.
-	dirty map[queueID]bool
-	// wakes are when queues have to be looked at again.
+	// dirty are the classes whose offers may have to change.
+	dirty map[identifier.Class]bool
+	// wakes are when classes have to be looked at again.
 	wakes wakes
 }
 
@@ -34,12 +35,12 @@
 func New(cfg Config) *Queuer {
 	return &Queuer{
 		cfg:       cfg,
-		queues:    map[queueID]*queue{},
+		groups:    map[identifier.Class]*group{},
 		items:     map[identifier.Request]*Item{},
 		agents:    map[identifier.Target]*agentView{},
 		waits:     map[identifier.Class]time.Duration{},
 		kindWaits: map[identifier.Kind]time.Duration{},
-		dirty:     map[queueID]bool{},
+		dirty:     map[identifier.Class]bool{},
 	}
 }
 
@@ -52,7 +53,7 @@
 	if err := s.Admit(now, it); err != nil {
 		return err
 	}
-	s.add(s.queue(it, s.cfg.Kinds[it.Class.Kind].Pool), &it, false)
+	s.add(&it, false)
 	return nil
 }
 
@@ -63,12 +64,9 @@
 	if !known {
 		return Refusal{Request: it.Request, Class: it.Class, Reason: UnknownKind}
 	}
-	q := s.queues[queueID{it.Class, it.Bound}]
-	if q == nil {
-		q = &queue{}
-	}
+	q := s.peek(it)
 	if reason := s.refuse(now, q, it, rule); reason != "" {
-		return Refusal{Request: it.Request, Class: it.Class, Reason: reason, RetryAfter: s.retryAfter(q)}
+		return Refusal{Request: it.Request, Class: it.Class, Reason: reason, RetryAfter: s.retryAfter(it.Class, q)}
 	}
 	return nil
 }
@@ -76,51 +74,43 @@
 // Return puts back a request that an agent has refused as not run. It goes to
 // the front of its queue; its place in the limits is not checked again.
 func (s *Queuer) Return(it Item) {
-	rule := s.cfg.Kinds[it.Class.Kind]
-	s.add(s.queue(it, rule.Pool), &it, true)
+	s.add(&it, true)
 }
 
 // Granted answers a grant of target t for class c: the request to hand over, or
 // false if nothing waits.
 func (s *Queuer) Granted(now identifier.Instant, t identifier.Target, c identifier.Class) (Item, bool) {
-	q := s.older(queueID{class: c}, queueID{class: c, bound: t})
+	g := s.groups[c]
+	if g == nil {
+		return Item{}, false
+	}
+	s.dirty[c] = true
+	q := g.older(t)
 	if q == nil {
-		s.Untold(t, c)
+		delete(g.told, t) // The agent drops a declined offer.
 		return Item{}, false
 	}
 	it := q.pop()
 	s.detach(it)
 	q.departure(now)
 	s.left(now, it)
-	if q.told[t] > 0 {
-		q.told[t]--
+	if g.told[t] > 0 {
+		g.told[t]--
 	}
-	s.touch(q)
 	return *it, true
 }
 
-// Untold notes that target t no longer holds an offer of class c, so that it is
-// told again as soon as something waits.
-func (s *Queuer) Untold(t identifier.Target, c identifier.Class) {
-	for _, id := range []queueID{{class: c}, {class: c, bound: t}} {
-		if q := s.queues[id]; q != nil {
-			delete(q.told, t)
-			s.dirty[id] = true
-		}
-	}
-}
-
 // Refresh has every agent told again of everything that waits, in case that
 // the two sides have come to differ.
 func (s *Queuer) Refresh() {
-	for id, q := range s.queues {
-		for t := range q.told {
-			q.told[t] = 0
+	for c, g := range s.groups {
+		for t := range g.told {
+			g.told[t] = 0
 		}
-		s.dirty[id] = true
+		s.dirty[c] = true
 	}
 	for c := range s.waits {
-		if s.queues[queueID{class: c}] == nil {
+		if s.groups[c] == nil {
 			delete(s.waits, c)
 		}
 	}
@@ -150,13 +140,13 @@
 	return s.kindWaits[c.Kind]
 }
 
-// wait estimates how long a request that joins queue q now waits. An empty queue
-// says nothing, so that one request always goes to find out.
-func (s *Queuer) wait(q *queue) time.Duration {
+// wait estimates how long a request of class c that joins queue q now waits. An
+// empty queue says nothing, so that one request always goes to find out.
+func (s *Queuer) wait(c identifier.Class, q *queue) time.Duration {
 	if len(q.items) == 0 {
 		return 0
 	}
-	return max(time.Duration(len(q.items))*q.interval, s.usual(q.id.class))
+	return max(time.Duration(len(q.items))*q.interval, s.usual(c))
 }
 
 // Cancel removes a waiting request and reports whether it was waiting. A
@@ -166,10 +156,9 @@
 	if it == nil {
 		return false
 	}
-	q := s.queues[queueID{it.Class, it.Bound}]
-	q.remove(it)
+	s.groups[it.Class].queue(it.Bound).remove(it)
 	s.detach(it)
-	s.touch(q)
+	s.dirty[it.Class] = true
 	return true
 }
 
@@ -202,9 +191,10 @@
 // Depths returns what waits, by class.
 func (s *Queuer) Depths() []Depth {
 	var ds []Depth
-	for id, q := range s.queues {
-		if len(q.items) > 0 {
-			ds = append(ds, Depth{Class: id.class, Count: len(q.items), Bytes: q.bytes, Oldest: q.head().Arrived})
+	for c, g := range s.groups {
+		if d := g.depth(); d.Count > 0 {
+			d.Class = c
+			ds = append(ds, d)
 		}
 	}
 	sort.Slice(ds, func(i, j int) bool {
@@ -216,6 +206,27 @@
 	return ds
 }
 
+// depth sums the queues of a group.
+func (g *group) depth() Depth {
+	var d Depth
+	d.add(&g.free)
+	for _, q := range g.bound {
+		d.add(q)
+	}
+	return d
+}
+
+func (d *Depth) add(q *queue) {
+	if len(q.items) == 0 {
+		return
+	}
+	d.Count += len(q.items)
+	d.Bytes += q.bytes
+	if at := q.head().Arrived; d.Oldest == 0 || at < d.Oldest {
+		d.Oldest = at
+	}
+}
+
 // Len returns how many requests wait and how many bytes their bodies have.
 func (s *Queuer) Len() (count, bytes int) { return len(s.items), s.bytes }
 
@@ -229,15 +240,15 @@
 		return QueueFull
 	case s.bytes+it.Bytes > s.cfg.MaxBytes:
 		return RouterFull
-	case now.Add(s.wait(q)) > it.Deadline:
+	case now.Add(s.wait(it.Class, q)) > it.Deadline:
 		return DeadlineTooNear
 	}
 	return ""
 }
 
 // retryAfter is when the queue is expected to have emptied.
-func (s *Queuer) retryAfter(q *queue) time.Duration {
-	return min(max(s.wait(q), minRetryAfter), maxRetryAfter)
+func (s *Queuer) retryAfter(c identifier.Class, q *queue) time.Duration {
+	return min(max(s.wait(c, q), minRetryAfter), maxRetryAfter)
 }
 
 // Bounds of the retry hint.
@@ -246,19 +257,34 @@
 	maxRetryAfter = 5 * time.Minute
 )
 
-func (s *Queuer) queue(it Item, pool identifier.Pool) *queue {
-	id := queueID{it.Class, it.Bound}
-	q := s.queues[id]
-	if q == nil {
-		q = &queue{id: id, pool: pool, told: map[identifier.Target]int{}}
-		s.queues[id] = q
+// peek returns the queue that request it would join, or an empty one.
+func (s *Queuer) peek(it Item) *queue {
+	g := s.groups[it.Class]
+	switch {
+	case g == nil:
+		return &queue{}
+	case it.Bound == "":
+		return &g.free
+	case g.bound[it.Bound] == nil:
+		return &queue{}
 	}
-	return q
+	return g.bound[it.Bound]
 }
 
-func (s *Queuer) add(q *queue, it *Item, front bool) {
-	if len(q.items) == 0 {
-		q.rank = s.rankFor(q, it)
+func (s *Queuer) group(c identifier.Class) *group {
+	g := s.groups[c]
+	if g == nil {
+		g = &group{class: c, pool: s.cfg.Kinds[c.Kind].Pool, bound: map[identifier.Target]*queue{}, told: map[identifier.Target]int{}}
+		s.groups[c] = g
+	}
+	return g
+}
+
+func (s *Queuer) add(it *Item, front bool) {
+	g := s.group(it.Class)
+	q := g.queue(it.Bound)
+	if it.Bound == "" && len(q.items) == 0 {
+		g.rank = s.rankFor(g.pool, it)
 	}
 	if front {
 		q.pushFront(it)
@@ -268,7 +294,7 @@
 	s.items[it.Request] = it
 	s.bytes += it.Bytes
 	heap.Push(&s.deadlines, it)
-	s.dirty[q.id] = true
+	s.dirty[it.Class] = true
 }
 
 // detach forgets item it, which has left its queue.
@@ -293,31 +319,6 @@
 // minCompact is the heap size below which compaction is not worth its cost.
 const minCompact = 1024
 
-func (s *Queuer) touch(q *queue) { s.dirty[q.id] = true }
-
-// dropEmpty forgets a queue that holds nothing and of which no agent was told.
-func (s *Queuer) dropEmpty(q *queue) {
-	if len(q.items) == 0 && len(q.told) == 0 {
-		delete(s.queues, q.id)
-		delete(s.dirty, q.id)
-	}
-}
-
-// older returns the queue of the two whose head has waited longer, or nil.
-func (s *Queuer) older(a, b queueID) *queue {
-	qa, qb := s.queues[a], s.queues[b]
-	if qa != nil && len(qa.items) == 0 {
-		qa = nil
-	}
-	if qb == nil || len(qb.items) == 0 {
-		return qa
-	}
-	if qa == nil || qb.head().Arrived < qa.head().Arrived {
-		return qb
-	}
-	return qa
-}
-
 // deadlines is a heap of items, the earliest deadline first.
 type deadlines []*Item
 
--- /dev/null
+++ b/queuer/queuer_test.go
@@ -0,0 +1,240 @@
+package queuer_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+	"pgregory.net/rapid"
+
+	"buckthorndrum/identifier"
+	"buckthorndrum/queuer"
+	"buckthorndrum/scheduler"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.checks", "5000")
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+const (
+	maxQueued = 3
+	maxBytes  = 60
+)
+
+func config() queuer.Config {
+	return queuer.Config{
+		Self: "r", MaxBytes: maxBytes, FirstFanout: 1, WidenAfter: 4 * time.Millisecond, LongWait: 500 * time.Millisecond, BatchFor: 250 * time.Millisecond,
+		Kinds: map[identifier.Kind]queuer.KindRule{"k": {Pool: "p", MaxQueued: maxQueued, MaxQueuedBytes: 40}},
+	}
+}
+
+var targets = []identifier.Target{"t0", "t1", "t2"}
+
+// oracle is what a router's requests and the agents' offers should be.
+type oracle struct {
+	t       *rapid.T
+	q       *queuer.Queuer
+	now     identifier.Instant
+	waiting map[identifier.Request]queuer.Item
+	// offers are what each linked agent holds.
+	offers map[identifier.Target]map[identifier.Class]int
+	serial int
+}
+
+func (o *oracle) class() identifier.Class {
+	return identifier.Class{Kind: "k", Workspace: identifier.Workspace(fmt.Sprint("w", rapid.IntRange(0, 1).Draw(o.t, "workspace")))}
+}
+
+func (o *oracle) target() identifier.Target {
+	return targets[rapid.IntRange(0, len(targets)-1).Draw(o.t, "target")]
+}
+
+func (o *oracle) enqueue() {
+	o.serial++
+	it := queuer.Item{
+		Request: identifier.Request(fmt.Sprint(o.serial)), Class: o.class(), Bytes: rapid.IntRange(0, 30).Draw(o.t, "bytes"),
+		Arrived: o.now, Deadline: o.now.Add(time.Duration(rapid.IntRange(0, 2000).Draw(o.t, "deadline")) * time.Millisecond),
+	}
+	if rapid.IntRange(0, 3).Draw(o.t, "bound") == 0 {
+		it.Bound = o.target()
+	}
+	err := o.q.Enqueue(o.now, it)
+	var ref queuer.Refusal
+	if err != nil && !errors.As(err, &ref) {
+		o.t.Fatalf("enqueue says %v", err)
+	}
+	if err == nil {
+		o.waiting[it.Request] = it
+	}
+}
+
+// leave notes that a request left the queue, which it may do once.
+func (o *oracle) leave(it queuer.Item) {
+	if _, ok := o.waiting[it.Request]; !ok {
+		o.t.Fatalf("request %s left the queue and was not in it", it.Request)
+	}
+	delete(o.waiting, it.Request)
+}
+
+func (o *oracle) grant() {
+	t, c := o.target(), o.class()
+	it, ok := o.q.Granted(o.now, t, c)
+	if !ok {
+		for _, w := range o.waiting {
+			if w.Class == c && (w.Bound == "" || w.Bound == t) {
+				o.t.Fatalf("grant of %s was declined while request %s waits", t, w.Request)
+			}
+		}
+		delete(o.offers[t], c) // The agent drops a declined offer.
+		return
+	}
+	o.leave(it)
+	if it.Class != c || (it.Bound != "" && it.Bound != t) {
+		o.t.Fatalf("grant of %s for %v got request %+v", t, c, it)
+	}
+	if n := o.offers[t][c] - 1; n > 0 {
+		o.offers[t][c] = n
+	} else {
+		delete(o.offers[t], c)
+	}
+	if rapid.Bool().Draw(o.t, "void") {
+		o.q.Return(it)
+		o.waiting[it.Request] = it
+	}
+}
+
+func (o *oracle) flush() {
+	for _, u := range o.q.Updates(o.now) {
+		for _, of := range u.Offers {
+			o.apply(u.Target, of)
+		}
+	}
+}
+
+func (o *oracle) apply(t identifier.Target, of scheduler.Offer) {
+	if o.offers[t] == nil {
+		o.t.Fatalf("agent %s is not linked and was told of %v", t, of.Class)
+	}
+	if of.Count <= 0 {
+		delete(o.offers[t], of.Class)
+		return
+	}
+	o.offers[t][of.Class] = of.Count
+}
+
+func (o *oracle) link(t identifier.Target, up bool) {
+	switch {
+	case !up:
+		delete(o.offers, t)
+		o.q.DropAgent(t)
+	default:
+		if o.offers[t] == nil {
+			o.offers[t] = map[identifier.Class]int{}
+		}
+		o.q.SetAgent(t, "p", true, rapid.IntRange(-1, 2).Draw(o.t, "room"))
+	}
+}
+
+func (o *oracle) check() {
+	count, bytes := o.q.Len()
+	sum := 0
+	for _, it := range o.waiting {
+		sum += it.Bytes
+	}
+	if count != len(o.waiting) || bytes != sum {
+		o.t.Fatalf("%d requests of %d bytes wait, the queuer says %d of %d", len(o.waiting), sum, count, bytes)
+	}
+}
+
+// TestQueuer drives a router's queues with random events. Every request leaves
+// once, bounds hold, and in the end every linked agent that may serve a waiting
+// request knows of it, and no agent holds an offer of nothing.
+func TestQueuer(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := &oracle{t: t, q: queuer.New(config()), now: 1, waiting: map[identifier.Request]queuer.Item{}, offers: map[identifier.Target]map[identifier.Class]int{}}
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			switch rapid.IntRange(0, 9).Draw(t, "event") {
+			case 0, 1, 2:
+				o.enqueue()
+			case 3, 4:
+				o.grant()
+			case 5:
+				o.link(o.target(), rapid.IntRange(0, 2).Draw(t, "up") > 0)
+			case 6:
+				o.now = o.now.Add(time.Duration(rapid.IntRange(1, 300).Draw(t, "ms")) * time.Millisecond)
+				for _, it := range o.q.Expired(o.now) {
+					if it.Deadline > o.now {
+						t.Fatalf("request %s was given up %s early", it.Request, it.Deadline.Sub(o.now))
+					}
+					o.leave(it)
+				}
+			case 7:
+				r := identifier.Request(fmt.Sprint(rapid.IntRange(1, o.serial+1).Draw(t, "cancel")))
+				if it, ok := o.waiting[r]; ok != o.q.Cancel(r) {
+					t.Fatalf("cancel of %s disagrees: waiting %v", r, ok)
+				} else if ok {
+					o.leave(it)
+				}
+			default:
+				o.flush()
+			}
+			o.check()
+		}
+		o.settle()
+	})
+}
+
+// settle gives the queuer the time to tell everybody, and compares.
+func (o *oracle) settle() {
+	for range 40 {
+		o.now = o.now.Add(150 * time.Millisecond)
+		o.flush()
+	}
+	known := map[identifier.Target]map[identifier.Class]bool{}
+	for t := range o.offers {
+		known[t] = map[identifier.Class]bool{}
+		for _, it := range o.waiting {
+			if it.Bound == "" || it.Bound == t {
+				known[t][it.Class] = true
+			}
+		}
+		for c := range known[t] {
+			if o.offers[t][c] == 0 {
+				o.t.Fatalf("agent %s does not know of %v", t, c)
+			}
+		}
+		for c := range o.offers[t] {
+			if !known[t][c] {
+				o.t.Fatalf("agent %s holds an offer of %v, and nothing waits", t, c)
+			}
+		}
+	}
+}
+
+// TestFloodStaysFlat checks that a flood costs no more memory than the bounds
+// allow, whatever its size.
+func TestFloodStaysFlat(t *testing.T) {
+	q := queuer.New(config())
+	refused := 0
+	for i := range 100_000 {
+		err := q.Enqueue(identifier.Instant(i+1), queuer.Item{
+			Request: identifier.Request(fmt.Sprint(i)), Bytes: 10, Deadline: 1 << 62,
+			Class: identifier.Class{Kind: "k", Workspace: identifier.Workspace(fmt.Sprint("w", i%50))},
+		})
+		if err != nil {
+			refused++
+		}
+	}
+	if _, bytes := q.Len(); bytes > maxBytes {
+		t.Fatalf("%d bytes wait, the bound is %d", bytes, maxBytes)
+	}
+	if refused != 100_000-maxBytes/10 {
+		t.Fatalf("%d requests were refused", refused)
+	}
+}
--- a/queuer/wake.go
+++ b/queuer/wake.go
@@ -2,18 +2,17 @@
 
 import (
 	"container/heap"
-	"time"
 
 	"buckthorndrum/identifier"
 )
 
-// wakes is a heap of times at which queues have to be looked at again, so that
-// a tick costs nothing for the queues that are not concerned.
+// wakes is a heap of times at which groups have to be looked at again, so that
+// a tick costs nothing for the groups that are not concerned.
 type wakes []wake
 
 type wake struct {
-	at identifier.Instant
-	id queueID
+	at    identifier.Instant
+	class identifier.Class
 }
 
 func (w wakes) Len() int           { return len(w) }
@@ -31,47 +30,39 @@
 	return x
 }
 
-// sleep has queue q looked at again at the given time, unless that is due
+// sleep has group g looked at again at the given time, unless that is due
 // earlier already.
-func (s *Queuer) sleep(q *queue, at identifier.Instant) {
-	if q.wakeAt != 0 && q.wakeAt <= at {
+func (s *Queuer) sleep(g *group, at identifier.Instant) {
+	if g.wakeAt != 0 && g.wakeAt <= at {
 		return
 	}
-	q.wakeAt = at
-	heap.Push(&s.wakes, wake{at, q.id})
+	g.wakeAt = at
+	heap.Push(&s.wakes, wake{at, g.class})
 }
 
-// wake marks the queues that are due.
+// wake marks the groups that are due.
 func (s *Queuer) wake(now identifier.Instant) {
 	for len(s.wakes) > 0 && s.wakes[0].at <= now {
 		w := heap.Pop(&s.wakes).(wake)
-		q := s.queues[w.id]
-		if q == nil || q.wakeAt != w.at {
-			continue // The queue has gone or is due at another time.
+		g := s.groups[w.class]
+		if g == nil || g.wakeAt != w.at {
+			continue // The group has gone or is due at another time.
 		}
-		q.wakeAt = 0
-		s.dirty[w.id] = true
+		g.wakeAt = 0
+		s.dirty[w.class] = true
 	}
 }
 
-// batched puts off the update of a queue whose kind usually waits long, so
-// that several changes go in one frame, and reports whether it did. An empty
-// queue is withdrawn at once, for each grant on it would be lost.
-func (s *Queuer) batched(now identifier.Instant, q *queue) bool {
-	if len(q.items) == 0 || s.usual(q.id.class) < s.cfg.LongWait || now.Sub(q.updated) >= s.cfg.BatchFor {
-		q.updated = now
+// batched puts off the update of a group whose kind usually waits long, so that
+// several changes go in one frame, and reports whether it did. An empty queue is
+// withdrawn at once, for each grant on it would be lost, and so is a bound
+// request offered.
+func (s *Queuer) batched(now identifier.Instant, g *group) bool {
+	free := len(g.free.items) > 0 && len(g.bound) == 0
+	if !free || s.usual(g.class) < s.cfg.LongWait || now.Sub(g.updated) >= s.cfg.BatchFor {
+		g.updated = now
 		return false
 	}
-	s.sleep(q, q.updated.Add(s.cfg.BatchFor))
+	s.sleep(g, g.updated.Add(s.cfg.BatchFor))
 	return true
 }
-
-// widening returns after how long the reach of queue q may have grown.
-func (s *Queuer) widening(now identifier.Instant, q *queue) time.Duration {
-	waited := now.Sub(q.head().Arrived)
-	usual := s.usual(q.id.class)
-	if usual < s.cfg.LongWait || s.roomy(q) > 0 {
-		return s.cfg.WidenAfter
-	}
-	return max(s.cfg.WidenAfter, longerThanUsual*usual-waited)
-}
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -143,6 +143,16 @@
 	return lowest
 }
 
+// oldest returns the outstanding grant with the lowest number.
+func (o *target) oldest() (scheduler.Grant, bool) {
+	for n := uint64(1); n <= uint64(len(o.expires)); n++ {
+		if g, ok := o.grants[n]; ok {
+			return g, true
+		}
+	}
+	return scheduler.Grant{}, false
+}
+
 var classes = []identifier.Class{
 	{Kind: "draft", Workspace: "a"}, {Kind: "draft", Workspace: "b"}, {Kind: "answer", Workspace: "a"},
 	{Kind: "answer", Workspace: "c"}, {Kind: "tag", Workspace: "b"}, {Kind: "unknown", Workspace: "a"},
@@ -180,19 +190,13 @@
 		if rapid.IntRange(0, 9).Draw(t, "late") == 0 {
 			o.now = o.now.Add(600 * time.Millisecond) // The process was paused.
 		}
-		for n := uint64(1); n <= uint64(len(o.expires)); n++ {
-			if g, ok := o.grants[n]; ok {
-				o.accept(g, rapid.IntRange(0, 9).Draw(t, "other") == 0)
-				return
-			}
+		if g, ok := o.oldest(); ok {
+			o.accept(g, rapid.IntRange(0, 9).Draw(t, "other") == 0)
 		}
 	case 4:
-		for n := uint64(1); n <= uint64(len(o.expires)); n++ {
-			if g, ok := o.grants[n]; ok {
-				delete(o.grants, n)
-				o.take(o.sched.Decline(o.now, g.ID))
-				return
-			}
+		if g, ok := o.oldest(); ok {
+			delete(o.grants, g.ID.Number)
+			o.take(o.sched.Decline(o.now, g.ID))
 		}
 	case 5:
 		if r := o.any(o.running); r != "" {
--- /dev/null
+++ b/spreader/spreader_test.go
@@ -0,0 +1,221 @@
+package spreader_test
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"buckthorndrum/configurator"
+	"buckthorndrum/identifier"
+	"buckthorndrum/messenger"
+	"buckthorndrum/spreader"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.checks", "500")
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+// document returns a valid document of n workspaces whose content v marks.
+func document(n, v int) configurator.Document {
+	doc := configurator.Document{
+		Limits:    configurator.DefaultLimits(),
+		Pools:     []configurator.Pool{{ID: "p", Type: configurator.Engine, CreditWindow: 1}},
+		Operators: []configurator.Operator{{ID: "o", TokenHash: fmt.Sprintf("%064x", 1)}},
+	}
+	for i := range n {
+		doc.Workspaces = append(doc.Workspaces, configurator.Workspace{ID: identifier.Workspace(fmt.Sprint("w", i)), Weight: float64(1 + (v+i)%3)})
+	}
+	return doc
+}
+
+// fleet is a few processes, a store and the messages between them.
+type fleet struct {
+	t       *rapid.T
+	procs   []*configurator.Adopter
+	heads   [][]byte
+	parts   map[configurator.Hash][]byte
+	seen    []identifier.Revision
+	inbox   []message
+	written map[identifier.Revision]string
+}
+
+type message struct {
+	from, to int
+	frame    messenger.Frame
+}
+
+// change writes a new configuration by compare-and-swap.
+func (f *fleet) change(v int) {
+	var old configurator.Head
+	if n := len(f.heads); n > 0 {
+		old, _ = configurator.DecodeHead(f.heads[n-1])
+	}
+	doc := document(300, v)
+	ch, err := configurator.Plan(old, nil, doc, "o", time.Unix(int64(v), 0))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	raw, err := json.Marshal(ch.Head)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for h, p := range ch.Parts {
+		f.parts[h] = p
+	}
+	f.heads = append(f.heads, raw)
+	f.written[ch.Head.Revision] = string(raw)
+}
+
+// read lets a process read the store, which may show any earlier head.
+func (f *fleet) read(i int) {
+	if len(f.heads) == 0 {
+		return
+	}
+	raw := f.heads[rapid.IntRange(0, len(f.heads)-1).Draw(f.t, "shown")]
+	_, missing, err := f.procs[i].OfferHead(raw)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, h := range missing {
+		if rapid.IntRange(0, 9).Draw(f.t, "part lost") > 0 {
+			if _, err := f.procs[i].OfferPart(f.parts[h]); err != nil {
+				f.t.Fatal(err)
+			}
+		}
+	}
+}
+
+func (f *fleet) send(from, to int, fr messenger.Frame) {
+	fr.Revision = f.procs[from].Revision()
+	f.inbox = append(f.inbox, message{from, to, fr})
+}
+
+// deliver brings one message, perhaps again later.
+func (f *fleet) deliver(n int, again bool) {
+	m := f.inbox[n]
+	if !again {
+		f.inbox = append(f.inbox[:n:n], f.inbox[n+1:]...)
+	}
+	res, err := spreader.Take(f.procs[m.to], m.frame)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	for _, r := range res.Replies {
+		f.send(m.to, m.from, r)
+	}
+}
+
+func (f *fleet) check() {
+	for i, p := range f.procs {
+		if p.Revision() < f.seen[i] {
+			f.t.Fatalf("process %d went from revision %d to %d", i, f.seen[i], p.Revision())
+		}
+		f.seen[i] = p.Revision()
+		if _, raw := p.Head(); p.Revision() > 0 && string(raw) != f.written[p.Revision()] {
+			f.t.Fatalf("process %d has another document as revision %d", i, p.Revision())
+		}
+	}
+}
+
+// TestSpread checks that no process goes back, whatever the store shows and
+// however messages are lost, repeated and reordered, and that in the end one
+// process that is ahead brings all others up to it without the store.
+func TestSpread(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{t: t, parts: map[configurator.Hash][]byte{}, written: map[identifier.Revision]string{}}
+		for range 3 {
+			f.procs = append(f.procs, configurator.NewAdopter())
+			f.seen = append(f.seen, 0)
+		}
+		f.change(0)
+		for i := range rapid.IntRange(1, 30).Draw(t, "events") {
+			a, b := rapid.IntRange(0, 2).Draw(t, "a"), rapid.IntRange(0, 2).Draw(t, "b")
+			switch rapid.IntRange(0, 6).Draw(t, "event") {
+			case 0:
+				f.change(i + 1)
+			case 1:
+				f.read(a)
+			case 2:
+				f.send(a, b, messenger.Frame{})
+			case 3: // A process loses its state; what it knew no longer counts.
+				f.procs[a], f.seen[a] = configurator.NewAdopter(), 0
+			default:
+				if len(f.inbox) > 0 {
+					f.deliver(rapid.IntRange(0, len(f.inbox)-1).Draw(t, "message"), rapid.Bool().Draw(t, "again"))
+				}
+			}
+			f.check()
+		}
+		f.finish()
+	})
+}
+
+func (f *fleet) finish() {
+	f.inbox = nil
+	newest := f.heads[len(f.heads)-1]
+	_, missing, _ := f.procs[0].OfferHead(newest)
+	for _, h := range missing {
+		if _, err := f.procs[0].OfferPart(f.parts[h]); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	for _, to := range []int{1, 2} {
+		f.send(to-1, to, messenger.Frame{})
+		for n := 0; len(f.inbox) > 0 && n < 100; n++ {
+			f.deliver(0, false)
+		}
+	}
+	for i, p := range f.procs {
+		if p.Revision() != identifier.Revision(len(f.heads)) {
+			f.t.Fatalf("process %d is at revision %d of %d", i, p.Revision(), len(f.heads))
+		}
+	}
+}
+
+// TestLargeDocument checks that a document past a megabyte goes in parts of
+// which a change touches few, and that old audit entries go to pages.
+func TestLargeDocument(t *testing.T) {
+	doc := document(20_000, 0)
+	a, err := configurator.Plan(configurator.Head{}, nil, doc, "o", time.Unix(0, 0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	total := 0
+	for _, p := range a.Parts {
+		total += len(p)
+		if len(p) > 256<<10 {
+			t.Fatalf("a part has %d bytes", len(p))
+		}
+	}
+	doc.Workspaces = append([]configurator.Workspace(nil), doc.Workspaces...)
+	doc.Workspaces[7].Weight = 9
+	head := a.Head
+	for i := range 100 {
+		b, err := configurator.Plan(head, nil, doc, "o", time.Unix(int64(i), 0))
+		if err != nil {
+			t.Fatal(err)
+		}
+		head = b.Head
+		changed := 0
+		for h := range b.Parts {
+			if a.Parts[h] == nil && h != head.Older {
+				changed++
+			}
+		}
+		if changed != 1 {
+			t.Fatalf("a change of one workspace touches %d parts", changed)
+		}
+	}
+	if len(head.Audit) > 64 || head.Older == "" {
+		t.Fatalf("head holds %d audit entries and the older page %q", len(head.Audit), head.Older)
+	}
+	t.Logf("document of %d bytes in %d parts", total, len(a.Head.Parts))
+}
