--- a/agent/agent.go
+++ b/agent/agent.go
@@ -237,6 +237,7 @@
 // lock.
 func (a *Agent) enforce(s *configurator.Snapshot) {
 	a.log.Info("configuration in force", zap.Uint64("revision", uint64(s.Revision)))
+	a.metrics.revision.Set(float64(s.Revision))
 	t, named := s.Target(a.cfg.Target)
 	a.board.configured = named
 	a.board.retired = !named || t.State == configurator.Leaving
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -11,6 +11,7 @@
 	preempted prometheus.Counter
 	tokens    prometheus.Counter
 	outcomes  *prometheus.CounterVec
+	revision  prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -21,6 +22,7 @@
 		tokens:    prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_agent_tokens_total", Help: "Tokens received from the target."}),
 		outcomes:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_agent_outcomes_total", Help: "Requests ended, by outcome."}, []string{"outcome"}),
 	}
-	m.registry.MustRegister(m.grants, m.preempted, m.tokens, m.outcomes)
+	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{Name: "buckthorndrum_agent_config_revision", Help: "Configuration revision in force."})
+	m.registry.MustRegister(m.revision, m.grants, m.preempted, m.tokens, m.outcomes)
 	return m
 }
--- a/imitator/engine.go
+++ b/imitator/engine.go
@@ -44,6 +44,8 @@
 	stepping bool
 	cache    prefixCache
 	loads    []loadSample
+	// last is when a stream was asked for last.
+	last     time.Time
 	model    string
 	fence    uint64
 	orders   int
@@ -123,6 +125,7 @@
 		s.total = Length(c.Prompt, c.MaxTokens)
 		s.ready = time.Now().Add(e.prefill(c))
 		e.prune()
+		e.last = time.Now()
 		e.streams[c.ID] = s
 	}
 	e.mu.Unlock()
@@ -144,6 +147,13 @@
 	}
 }
 
+// LastCall returns when a new stream was asked for last.
+func (e *Engine) LastCall() time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.last
+}
+
 // Length returns how many tokens the answer to a prompt has: the number after
 // "tokens=" in the prompt if there is one, else one that the prompt's hash
 // gives, and at most limit.
--- a/imitator/service.go
+++ b/imitator/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -21,8 +22,11 @@
 type Service struct {
 	cfg ServiceConfig
 	mu  sync.Mutex
-	// runs counts the executions by key.
-	runs map[string]int
+	// runs counts the executions by key, bodies by body.
+	runs   map[string]int
+	bodies map[string]int
+	// last is when a call came last.
+	last time.Time
 	// serial numbers the records issued.
 	serial  int
 	results map[string]Record
@@ -37,18 +41,28 @@
 
 // NewService returns a stand-in service.
 func NewService(cfg ServiceConfig) *Service {
-	return &Service{cfg: cfg, runs: map[string]int{}, results: map[string]Record{}}
+	return &Service{cfg: cfg, runs: map[string]int{}, bodies: map[string]int{}, results: map[string]Record{}}
 }
 
 // Runs returns how often each key has run.
 func (s *Service) Runs() map[string]int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	runs := make(map[string]int, len(s.runs))
-	for k, n := range s.runs {
-		runs[k] = n
-	}
-	return runs
+	return maps.Clone(s.runs)
+}
+
+// Bodies returns how often each body has been executed.
+func (s *Service) Bodies() map[string]int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.bodies)
+}
+
+// LastCall returns when a call came last.
+func (s *Service) LastCall() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.last
 }
 
 // Handler returns the service's HTTP interface.
@@ -60,22 +74,25 @@
 }
 
 func (s *Service) post(w http.ResponseWriter, r *http.Request) {
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
-	rec := s.run(r.Header.Get("Idempotency-Key"), r.URL.Path)
+	rec := s.run(r.Header.Get("Idempotency-Key"), r.URL.Path, string(body))
 	time.Sleep(s.cfg.Latency)
 	writeJSON(w, http.StatusOK, rec)
 }
 
 // run executes a call. A call without a key has its own key by serial.
-func (s *Service) run(key, path string) Record {
+func (s *Service) run(key, path, body string) Record {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.last = time.Now()
 	if rec, ran := s.results[key]; ran && key != "" && s.cfg.RefusesRepeats {
 		return rec
 	}
 	s.serial++
+	s.bodies[body]++
 	if key != "" {
 		s.runs[key]++
 	}
