--- /dev/null
+++ b/collector/collector_test.go
@@ -0,0 +1,157 @@
+package collector_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"buckthorndrum/collector"
+	"buckthorndrum/identifier"
+)
+
+func TestMain(m *testing.M) {
+	_ = flag.Set("rapid.checks", "1000")
+	_ = flag.Set("rapid.seed", "1")
+	flag.Parse()
+	os.Exit(m.Run())
+}
+
+const members = 12
+
+var spaces = []identifier.Workspace{"a", "b", "c", "d"}
+
+func name(i int) identifier.Target { return identifier.Target(fmt.Sprintf("t%02d", i)) }
+
+// TestSums charges at random agents whose messages are lost, repeated and late,
+// with trees that differ between agents for a while, and checks that in the end
+// everybody knows the plain sum.
+func TestSums(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := map[identifier.Target]*collector.Node{}
+		var all []identifier.Target
+		for i := range members {
+			all = append(all, name(i))
+			nodes[name(i)] = collector.New(identifier.Origin{Target: name(i), Incarnation: 1})
+		}
+		views := [][]identifier.Target{all, all[1:], all[:members-2]}
+		sums := map[identifier.Workspace]identifier.Cost{}
+		var late []sent
+		for range rapid.IntRange(1, 40).Draw(t, "events") {
+			who := name(rapid.IntRange(0, members-1).Draw(t, "agent"))
+			w := spaces[rapid.IntRange(0, len(spaces)-1).Draw(t, "workspace")]
+			switch rapid.IntRange(0, 3).Draw(t, "event") {
+			case 0, 1:
+				c := identifier.Cost(rapid.IntRange(-5, 50).Draw(t, "cost"))
+				nodes[who].Charge(w, c)
+				sums[w] += c
+			case 2:
+				view := views[rapid.IntRange(0, 2).Draw(t, "view")]
+				late = append(late, up(t, nodes, collector.NewTree(collector.ShardOf(w), view), who, collector.ShardOf(w))...)
+			case 3:
+				if len(late) > 0 {
+					m := late[rapid.IntRange(0, len(late)-1).Draw(t, "repeat")]
+					_ = nodes[m.to].Take(m.batch) // The acknowledgement is lost.
+				}
+			}
+		}
+		settle(nodes, all)
+		for _, w := range spaces {
+			for _, m := range all {
+				if got := nodes[m].Level(w); got != sums[w] {
+					t.Fatalf("%s has %d for %s, the sum is %d", m, got, w, sums[w])
+				}
+			}
+		}
+	})
+}
+
+// sent is a batch on its way, which may arrive late and twice.
+type sent struct {
+	to    identifier.Target
+	batch collector.Batch
+}
+
+// up sends one batch to the parent that a tree names. It may be lost, or its
+// acknowledgement.
+func up(t *rapid.T, nodes map[identifier.Target]*collector.Node, tree *collector.Tree, who identifier.Target, sh collector.Shard) []sent {
+	p, ok := tree.Parent(who)
+	if !ok {
+		return nil
+	}
+	b, to := nodes[who].Up(sh, p)
+	if b == nil {
+		return nil
+	}
+	switch rapid.IntRange(0, 3).Draw(t, "fate") {
+	case 0: // It is lost, or late.
+	case 1:
+		_ = nodes[to].Take(*b)
+	default:
+		nodes[who].Acknowledged(sh, nodes[to].Take(*b))
+	}
+	return []sent{{to, *b}}
+}
+
+// settle passes everything up and down over the true tree without losses.
+func settle(nodes map[identifier.Target]*collector.Node, all []identifier.Target) {
+	for _, w := range spaces {
+		sh := collector.ShardOf(w)
+		tree := collector.NewTree(sh, all)
+		for range 2 * members {
+			for _, m := range all {
+				p, ok := tree.Parent(m)
+				if b, to := nodes[m].Up(sh, p); b != nil {
+					nodes[m].Acknowledged(sh, nodes[to].Take(*b))
+				}
+				if !ok {
+					_ = nodes[m].Count(sh)
+				}
+			}
+		}
+		for range members {
+			for _, m := range all {
+				for _, c := range tree.Children(m) {
+					for _, d := range nodes[m].Everything(sh) {
+						_ = nodes[c].TakeDown(d)
+					}
+				}
+			}
+		}
+	}
+}
+
+// TestTree checks that every member but one has a parent, that parents and
+// children agree, and that inner places are spread over the members.
+func TestTree(t *testing.T) {
+	var all []identifier.Target
+	for i := range 775 {
+		all = append(all, identifier.Target(fmt.Sprintf("t%04d", i)))
+	}
+	inner := map[identifier.Target]int{}
+	for sh := range collector.Shard(collector.Shards) {
+		tree := collector.NewTree(sh, all)
+		roots := 0
+		for _, m := range all {
+			if _, ok := tree.Parent(m); !ok {
+				roots++
+			}
+			inner[m] += len(tree.Children(m))
+			for _, c := range tree.Children(m) {
+				if p, _ := tree.Parent(c); p != m {
+					t.Fatalf("%s is a child of %s and has parent %s", c, m, p)
+				}
+			}
+		}
+		if roots != 1 {
+			t.Fatalf("shard %d has %d roots", sh, roots)
+		}
+	}
+	for m, n := range inner {
+		if n > 3*collector.Shards {
+			t.Fatalf("%s has %d children over all trees", m, n)
+		}
+	}
+}
--- /dev/null
+++ b/collector/tree.go
@@ -0,0 +1,86 @@
+package collector
+
+import (
+	"encoding/binary"
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+
+	"buckthorndrum/identifier"
+)
+
+// Shard numbers one part of the workspaces.
+type Shard uint16
+
+const (
+	// Shards is the number of shards of a pool.
+	Shards = 64
+	// Fanout is how many children an agent has in one tree.
+	Fanout = 8
+)
+
+// ShardOf returns the shard of a workspace.
+func ShardOf(w identifier.Workspace) Shard {
+	return Shard(xxhash.Sum64String(string(w)) % Shards)
+}
+
+// Tree is the order of a pool's agents in one shard's tree: a heap with Fanout
+// children a node. Agents that see different members build different trees for
+// a while, which costs messages and loses nothing.
+type Tree struct {
+	order []identifier.Target
+	place map[identifier.Target]int
+}
+
+// NewTree returns the tree of a shard over the members.
+func NewTree(s Shard, members []identifier.Target) *Tree {
+	t := &Tree{order: append([]identifier.Target(nil), members...), place: map[identifier.Target]int{}}
+	rank := make(map[identifier.Target]uint64, len(members))
+	for _, m := range members {
+		rank[m] = hash(s, m)
+	}
+	sort.Slice(t.order, func(i, j int) bool {
+		if a, b := rank[t.order[i]], rank[t.order[j]]; a != b {
+			return a < b
+		}
+		return t.order[i] < t.order[j]
+	})
+	for i, m := range t.order {
+		t.place[m] = i
+	}
+	return t
+}
+
+func hash(s Shard, m identifier.Target) uint64 {
+	var b [2]byte
+	binary.LittleEndian.PutUint16(b[:], uint16(s))
+	h := xxhash.New()
+	_, _ = h.Write(b[:])
+	_, _ = h.WriteString(string(m))
+	return h.Sum64()
+}
+
+// Order returns the members from the root down.
+func (t *Tree) Order() []identifier.Target { return t.order }
+
+// Parent returns the parent of member m, or false for the root.
+func (t *Tree) Parent(m identifier.Target) (identifier.Target, bool) {
+	i, known := t.place[m]
+	if !known || i == 0 {
+		return "", false
+	}
+	return t.order[(i-1)/Fanout], true
+}
+
+// Children returns the children of member m.
+func (t *Tree) Children(m identifier.Target) []identifier.Target {
+	i, known := t.place[m]
+	if !known {
+		return nil
+	}
+	first := i*Fanout + 1
+	if first >= len(t.order) {
+		return nil
+	}
+	return t.order[first:min(first+Fanout, len(t.order))]
+}
--- a/imitator/engine.go
+++ b/imitator/engine.go
@@ -45,10 +45,10 @@
 	cache    prefixCache
 	loads    []loadSample
 	// last is when a stream was asked for last.
-	last     time.Time
-	model    string
-	fence    uint64
-	orders   int
+	last   time.Time
+	model  string
+	fence  uint64
+	orders int
 }
 
 // stream is one generation.
--- a/linker/link.go
+++ b/linker/link.go
@@ -16,10 +16,11 @@
 const (
 	// sendQueue is how many frames may wait to be sent on one link.
 	sendQueue = 256
-	// writeTimeout bounds the sending of one frame.
-	writeTimeout = 2 * time.Second
-	// SilentAfter is when a link on which nothing was received counts as lost.
-	SilentAfter = 5 * time.Second
+	// helloTimeout bounds the exchange of hellos.
+	helloTimeout = 2 * time.Second
+	// SilentAfter is when a link on which nothing was received counts as lost; it
+	// may take up to twice that time.
+	SilentAfter = 3 * time.Second
 )
 
 // ErrQueueFull tells that a peer does not take in what is sent.
@@ -36,6 +37,8 @@
 	out     chan []byte
 	done    chan struct{}
 	once    sync.Once
+	// heard tells that something was received since it was last looked at.
+	heard atomic.Bool
 	// sent and received count bytes of frames.
 	sent, received, queued *atomic.Int64
 }
@@ -72,7 +75,7 @@
 func join(ctx context.Context, conn *websocket.Conn, self messenger.Hello, t *Traffic, peer string) (*Link, error) {
 	conn.SetReadLimit(messenger.MaxFrame)
 	l := &Link{conn: conn, coder: messenger.NewCoder(), out: make(chan []byte, sendQueue), done: make(chan struct{}), sent: &t.Sent, received: &t.Received, queued: &t.Queued}
-	hello, cancel := context.WithTimeout(ctx, writeTimeout)
+	hello, cancel := context.WithTimeout(ctx, helloTimeout)
 	defer cancel()
 	if err := l.greet(hello, self); err != nil {
 		_ = conn.CloseNow()
@@ -105,10 +108,10 @@
 func (l *Link) Serve(ctx context.Context, take func(messenger.Frame)) error {
 	defer l.Close()
 	go l.write(ctx)
+	go l.watch(ctx)
 	for {
-		silent, cancel := context.WithTimeout(ctx, SilentAfter)
-		f, err := l.read(silent)
-		cancel()
+		f, err := l.read(ctx)
+		l.heard.Store(true)
 		if err != nil {
 			return errors.Wrapf(err, "read from %s %s", l.Peer.Role, l.Peer.Name)
 		}
@@ -162,10 +165,29 @@
 }
 
 func (l *Link) writeOne(ctx context.Context, raw []byte) error {
-	limited, cancel := context.WithTimeout(ctx, writeTimeout)
-	defer cancel()
 	l.sent.Add(int64(len(raw)))
-	return l.conn.Write(limited, websocket.MessageBinary, raw)
+	return l.conn.Write(ctx, websocket.MessageBinary, raw)
+}
+
+// watch closes the link when nothing was received for SilentAfter. One timer
+// for the link is cheaper than one for each frame. A peer that does not take in
+// what is sent is noticed by the full queue.
+func (l *Link) watch(ctx context.Context) {
+	ticks := time.NewTicker(SilentAfter)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+			if !l.heard.Swap(false) {
+				l.Close()
+				return
+			}
+		case <-l.done:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
 }
 
 // Done is closed when the link is lost or closed.
--- a/prover/callers_test.go
+++ b/prover/callers_test.go
@@ -55,7 +55,7 @@
 				defer wg.Done()
 				for n := 0; ctx.Err() == nil; n++ {
 					if j%2 == 0 {
-						c.ticket(ctx, rng, w, fmt.Sprintf(`{"bale":"%s-%d-%d"}`, w, j, n))
+						c.ticket(rng, w, fmt.Sprintf(`{"bale":"%s-%d-%d"}`, w, j, n))
 					} else {
 						c.draft(ctx, rng, w, fmt.Sprintf("%s-%d-%d tokens=%d", w, j, n, 5+rng.IntN(80)))
 					}
@@ -72,7 +72,7 @@
 
 // ticket asks for one ticket and repeats its key at any router until the
 // outcome is known.
-func (c *callers) ticket(ctx context.Context, rng *rand.Rand, w identifier.Workspace, body string) {
+func (c *callers) ticket(rng *rand.Rand, w identifier.Workspace, body string) {
 	key := uuid.Must(uuid.NewV7()).String()
 	outcome := identifier.Unknown
 	for n := 0; n < maxRepeats && outcome == identifier.Unknown; n++ {
--- a/prover/process_test.go
+++ b/prover/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -25,7 +26,9 @@
 	address string
 	cmd     *exec.Cmd
 	log     *os.File
-	exited  chan error
+	// exited is closed when the process has ended, and failure says how.
+	exited  chan struct{}
+	failure error
 	// stopping tells that it was asked to stop gracefully.
 	stopping bool
 }
@@ -56,13 +59,16 @@
 	p.cmd = exec.Command(bin, p.args...)
 	p.cmd.Stderr = p.log
 	p.cmd.Stdout = p.log
-	p.exited = make(chan error, 1)
+	p.exited = make(chan struct{})
 	p.stopping = false
 	if err := p.cmd.Start(); err != nil {
 		p.t.Fatalf("start %s: %v", p.name, err)
 	}
 	cmd, exited := p.cmd, p.exited
-	go func() { exited <- cmd.Wait() }()
+	go func() {
+		p.failure = cmd.Wait()
+		close(exited)
+	}()
 }
 
 func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
@@ -78,8 +84,8 @@
 	p.stopping = true
 	p.signal(syscall.SIGTERM)
 	select {
-	case err := <-p.exited:
-		return err
+	case <-p.exited:
+		return p.failure
 	case <-time.After(limit):
 		p.kill()
 		return fmt.Errorf("%s did not stop within %s", p.name, limit)
@@ -150,7 +156,8 @@
 		f.t.Fatal(err)
 	}
 	p := &process{t: f.t, name: name, address: freeAddress(f.t), log: log}
-	p.args = append(args, "-listen", p.address, "-secret", starter.Secret, "-data-centre", "dc1")
+	p.args = append(p.args, args...)
+	p.args = append(p.args, "-listen", p.address, "-secret", starter.Secret, "-data-centre", "dc1")
 	p.start(f.bin)
 	return p
 }
@@ -210,7 +217,7 @@
 }
 
 func (f *fleet) stop() {
-	for _, p := range append(f.routers, f.agents...) {
+	for _, p := range slices.Concat(f.routers, f.agents) {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
 		<-p.exited
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -46,53 +46,56 @@
 // choose returns the class of the lane whose workspace is furthest behind.
 // Workspaces within the tie window are ordered by urgency, prefix and age.
 func (s *Scheduler) choose(lane identifier.Kind) *class {
-	floor := s.floor()
-	lowest, ok := s.lowest(lane, floor)
-	if !ok {
-		return nil
-	}
+	ranked, lowest := s.ranked(lane)
 	limit := lowest + s.cfg.CreditWindow/tieFraction
-	var best *class
-	for _, c := range s.classes {
-		if !s.inLane(c, lane) || s.level(c.id.Workspace, floor) > limit {
-			continue
-		}
-		if best == nil || s.before(c, best, floor) {
+	var best candidate
+	for _, c := range ranked {
+		if c.level <= limit && (best.class == nil || s.before(c, best)) {
 			best = c
 		}
 	}
-	return best
+	return best.class
 }
 
-func (s *Scheduler) inLane(c *class, lane identifier.Kind) bool {
-	return (lane == commons || c.id.Kind == lane) && s.takeable(c)
+// candidate is a class with the level of its workspace.
+type candidate struct {
+	class *class
+	level identifier.Cost
 }
 
-func (s *Scheduler) lowest(lane identifier.Kind, floor identifier.Cost) (identifier.Cost, bool) {
+// ranked returns the classes that the lane may take, and their lowest level.
+func (s *Scheduler) ranked(lane identifier.Kind) ([]candidate, identifier.Cost) {
+	found := s.scratch[:0]
 	var lowest identifier.Cost
-	found := false
 	for _, c := range s.classes {
 		if !s.inLane(c, lane) {
 			continue
 		}
-		if l := s.level(c.id.Workspace, floor); !found || l < lowest {
-			lowest, found = l, true
+		l := s.level(c.contender)
+		if len(found) == 0 || l < lowest {
+			lowest = l
 		}
+		found = append(found, candidate{c, l})
 	}
-	return lowest, found
+	s.scratch = found
+	return found, lowest
+}
+
+func (s *Scheduler) inLane(c *class, lane identifier.Kind) bool {
+	return (lane == commons || c.id.Kind == lane) && s.takeable(c)
 }
 
 // before orders two classes whose workspaces are equally far behind.
-func (s *Scheduler) before(a, b *class, floor identifier.Cost) bool {
+func (s *Scheduler) before(x, y candidate) bool {
+	a, b := x.class, y.class
 	if ua, ub := s.cfg.Kinds[a.id.Kind].Urgency, s.cfg.Kinds[b.id.Kind].Urgency; ua != ub {
 		return ua > ub
 	}
 	if ha, hb := s.holds(a), s.holds(b); ha != hb {
 		return ha
 	}
-	la, lb := s.level(a.id.Workspace, floor), s.level(b.id.Workspace, floor)
-	if la != lb {
-		return la < lb
+	if x.level != y.level {
+		return x.level < y.level
 	}
 	if a.id.Workspace != b.id.Workspace {
 		return a.id.Workspace < b.id.Workspace
--- a/scheduler/level.go
+++ b/scheduler/level.go
@@ -8,6 +8,7 @@
 
 // contender is a workspace that has work here or had it lately.
 type contender struct {
+	workspace identifier.Workspace
 	// since is when its present run of offers began.
 	since identifier.Instant
 	// seen is when it last had an offer or gave one up.
@@ -17,18 +18,19 @@
 }
 
 // seen notes that workspace w has work here now, or had it until now.
-func (s *Scheduler) seen(now identifier.Instant, w identifier.Workspace) {
+func (s *Scheduler) seen(now identifier.Instant, w identifier.Workspace) *contender {
 	c := s.contenders[w]
 	if c == nil {
-		c = &contender{since: now}
+		c = &contender{workspace: w, since: now}
 		s.contenders[w] = c
 	}
 	c.seen = now
+	return c
 }
 
-// floor returns the lowest level of the backlogged workspaces, or zero if
-// there is none.
-func (s *Scheduler) floor() identifier.Cost {
+// lowestEstablished returns the lowest level of the backlogged workspaces, or
+// zero if there is none.
+func (s *Scheduler) lowestEstablished() identifier.Cost {
 	var lowest identifier.Cost
 	found := false
 	for w, c := range s.contenders {
@@ -42,49 +44,64 @@
 	return lowest
 }
 
-// level returns the level by which workspace w is ordered. One that is not
+// level returns the level by which a workspace is ordered. One that is not
 // backlogged yet has at most a credit window of credit.
-func (s *Scheduler) level(w identifier.Workspace, floor identifier.Cost) identifier.Cost {
-	l := s.table.Level(w)
-	if c := s.contenders[w]; c != nil && c.established {
+func (s *Scheduler) level(c *contender) identifier.Cost {
+	l := s.table.Level(c.workspace)
+	if c.established {
 		return l
 	}
-	return max(l, floor-s.cfg.CreditWindow)
+	return max(l, s.floor-s.cfg.CreditWindow)
 }
 
 // establish counts workspaces as backlogged that have waited long enough, and
 // ends the periods of those that have been idle.
 func (s *Scheduler) establish(now identifier.Instant) {
 	s.refresh(now)
-	for _, w := range s.contenderNames() {
-		c := s.contenders[w]
-		if now.Sub(c.seen) >= s.cfg.IdleAfter {
+	for _, c := range s.candidates(now) {
+		s.establishOne(now, c)
+	}
+	s.floor = s.lowestEstablished()
+}
+
+// candidates returns the workspaces that are not counted as backlogged, in the
+// order of their names, and drops those that have been idle. The others are
+// marked as competing.
+func (s *Scheduler) candidates(now identifier.Instant) []*contender {
+	var found []*contender
+	for w, c := range s.contenders {
+		switch {
+		case now.Sub(c.seen) >= s.cfg.IdleAfter:
 			delete(s.contenders, w)
-			continue
-		}
-		if c.established {
+		case c.established:
 			s.table.Touch(now, w)
-			continue
+		default:
+			found = append(found, c)
 		}
-		if s.table.Competes(now, w) {
-			// It is in a period already: another process has seen it wait.
-			c.established = true
-			continue
-		}
-		if s.unsynced || now.Sub(c.since) < s.cfg.BacklogAge {
-			continue
-		}
-		s.lift(w)
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].workspace < found[j].workspace })
+	return found
+}
+
+func (s *Scheduler) establishOne(now identifier.Instant, c *contender) {
+	if s.table.Competes(now, c.workspace) {
+		// It is in a period already: another process has seen it wait.
 		c.established = true
-		s.table.Touch(now, w)
+		return
 	}
+	if s.unsynced || now.Sub(c.since) < s.cfg.BacklogAge {
+		return
+	}
+	s.lift(c.workspace)
+	c.established = true
+	s.table.Touch(now, c.workspace)
 }
 
 // refresh marks every workspace that has work here as seen now.
 func (s *Scheduler) refresh(now identifier.Instant) {
-	for id, c := range s.classes {
+	for _, c := range s.classes {
 		if !c.empty() {
-			s.seen(now, id.Workspace)
+			c.contender.seen = now
 		}
 	}
 }
@@ -95,7 +112,7 @@
 	if !s.anyEstablished() {
 		return
 	}
-	floor := s.floor()
+	floor := s.lowestEstablished()
 	level := s.table.Level(w)
 	if low := floor - s.cfg.CreditWindow; level < low {
 		s.table.Rebase(w, low)
@@ -113,12 +130,3 @@
 	}
 	return false
 }
-
-func (s *Scheduler) contenderNames() []identifier.Workspace {
-	names := make([]identifier.Workspace, 0, len(s.contenders))
-	for w := range s.contenders {
-		names = append(names, w)
-	}
-	sort.Slice(names, func(i, j int) bool { return names[i] < names[j] })
-	return names
-}
--- a/scheduler/offer.go
+++ b/scheduler/offer.go
@@ -57,8 +57,10 @@
 
 // class collects the offers of one class.
 type class struct {
-	id     identifier.Class
-	offers map[identifier.Router]*offer
+	id identifier.Class
+	// contender is the class's workspace.
+	contender *contender
+	offers    map[identifier.Router]*offer
 	// opened is how many of the offers are open.
 	opened int
 	// parked are preempted requests of this class, the oldest first.
@@ -116,7 +118,7 @@
 	if _, served := s.cfg.Kinds[in.Class.Kind]; !served {
 		return
 	}
-	c := s.class(in.Class)
+	c := s.class(now, in.Class)
 	if in.Count <= 0 {
 		c.remove(r)
 		s.tidy(now, c)
@@ -131,13 +133,12 @@
 	o.oldest = now.Add(-in.Age)
 	o.hint = in.Hint
 	o.prefix = in.Prefix
-	s.seen(now, in.Class.Workspace)
 }
 
-func (s *Scheduler) class(id identifier.Class) *class {
+func (s *Scheduler) class(now identifier.Instant, id identifier.Class) *class {
 	c := s.classes[id]
 	if c == nil {
-		c = &class{id: id, offers: map[identifier.Router]*offer{}}
+		c = &class{id: id, offers: map[identifier.Router]*offer{}, contender: s.seen(now, id.Workspace)}
 		s.classes[id] = c
 	}
 	return c
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -19,6 +19,7 @@
 	if s.room(now) > 0 {
 		return
 	}
+	s.preempted = now // Looked at, whether or not there is a victim.
 	kind, found := s.deprived()
 	if !found {
 		return
@@ -27,10 +28,9 @@
 	if u == nil {
 		return
 	}
-	s.preempted = now
 	u.atTarget = false
 	s.running--
-	c := s.class(u.class)
+	c := s.class(now, u.class)
 	c.parked = append(c.parked, r)
 	s.settle(u)
 	acts.Preempts = append(acts.Preempts, r)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -7,6 +7,9 @@
 	"buckthorndrum/identifier"
 )
 
+// establishEvery is how often it is looked at which workspaces are backlogged.
+const establishEvery = 50 * time.Millisecond
+
 // localityBonus is how much older a request counts whose prefix is held.
 const localityBonus = 50 * time.Millisecond
 
@@ -46,12 +49,19 @@
 	queued []identifier.Request
 	// running is how many runs are at the target, at most the slots.
 	running int
+	// scratch is reused by ranked.
+	scratch []candidate
 	// contenders are the workspaces that have work here or had it lately.
 	contenders map[identifier.Workspace]*contender
 	pace       pace
 	prefixes   *prefixes
 	draining   bool
-	preempted  identifier.Instant
+	// preempted is when a preemption was last looked for.
+	preempted identifier.Instant
+	// established is when levels were last looked at, and floor what the lowest
+	// level of the backlogged workspaces was then.
+	established identifier.Instant
+	floor       identifier.Cost
 	// unsynced tells that levels are not known yet, so that no period is started.
 	unsynced bool
 }
@@ -128,7 +138,10 @@
 			s.release(n, g)
 		}
 	}
-	s.establish(now)
+	if now.Sub(s.established) >= establishEvery {
+		s.established = now
+		s.establish(now)
+	}
 	s.pace.tick(now, s.cfg, s.running)
 	acts := s.fill(now)
 	s.preempt(now, &acts)
