--- a/configurator/document.go
+++ b/configurator/document.go
@@ -131,7 +131,8 @@
 	RetryRatio float64 `json:"retry_ratio"`
 	// KeyAgeMS is the age up to which a caller's own key is accepted.
 	KeyAgeMS int64 `json:"key_age_ms"`
-	// ClaimsPerSecond bounds the claims that one router writes.
+	// ClaimsPerSecond bounds the claims that all routers together write; each
+	// takes an equal part of it.
 	ClaimsPerSecond float64 `json:"claims_per_second"`
 }
 
@@ -142,7 +143,7 @@
 		RouterBytes:     64 << 20,
 		RetryRatio:      0.1,
 		KeyAgeMS:        (24 * time.Hour).Milliseconds(),
-		ClaimsPerSecond: 50,
+		ClaimsPerSecond: 200,
 	}
 }
 
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -23,8 +23,18 @@
 	Leaving State = "leaving"
 )
 
+// Role is what an instance runs.
+type Role string
+
+// The roles.
+const (
+	Router Role = "router"
+	Agent  Role = "agent"
+)
+
 // Instance is one entry of the list.
 type Instance struct {
+	Role Role `json:"role"`
 	// Name is the router's or target's name.
 	Name    string `json:"name"`
 	Address string `json:"address"`
--- a/router/board.go
+++ b/router/board.go
@@ -24,6 +24,7 @@
 	serial uint64
 	// stopping tells that the router takes no new requests. It is never unset.
 	stopping bool
+	members  membership
 	// storeOK tells that the last call to the key-value service succeeded.
 	storeOK bool
 }
@@ -46,5 +47,6 @@
 		calls:   map[identifier.Request]*call{},
 		agents:  map[identifier.Target]*agentLink{},
 		budget:  retrier.New(0),
+		members: newMembership(),
 	}
 }
--- a/router/links.go
+++ b/router/links.go
@@ -134,7 +134,10 @@
 		return
 	}
 	named, ok := s.Target(t)
-	if a.leaving || !ok || named.State == configurator.Leaving {
+	if a.link == nil {
+		return
+	}
+	if a.leaving || r.board.members.leaving[t] || !ok || named.State == configurator.Leaving {
 		r.board.queues.DropAgent(t)
 		return
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -80,6 +80,7 @@
 	go func() { _ = r.server.Serve(l) }()
 	go r.loop()
 	go r.watchConfig()
+	go r.followList()
 	r.log.Info("router started", zap.String("address", r.address))
 	return r, nil
 }
@@ -208,8 +209,7 @@
 	r.log.Info("configuration in force", zap.Uint64("revision", uint64(s.Revision)))
 	r.board.queues.Configure(s.QueuerConfig(r.cfg.Name))
 	r.board.budget.SetRatio(s.Document.Limits.RetryRatio)
-	r.claims.SetLimit(rate.Limit(s.Document.Limits.ClaimsPerSecond))
-	r.claims.SetBurst(int(s.Document.Limits.ClaimsPerSecond) + 1)
+	r.limitClaims(s)
 	r.metrics.revision.Set(float64(s.Revision))
 	for _, a := range r.board.agents {
 		r.send(a.link, messenger.Frame{})
--- a/router/store.go
+++ b/router/store.go
@@ -33,24 +33,33 @@
 func (r *Router) watchConfig() {
 	var v storer.Version
 	for r.ctx.Err() == nil {
+		if !r.watches() {
+			r.pause(listEvery)
+			continue
+		}
 		ent, err := r.cfg.Store.Watch(r.ctx, headKey, v, watchWait)
 		r.noteStore(err)
 		if err != nil {
-			select {
-			case <-time.After(storeRetry):
-			case <-r.ctx.Done():
-			}
+			r.pause(storeRetry + time.Duration(jitter()*float64(storeRetry)))
 			continue
 		}
 		if err := r.offerStored(r.ctx, ent.Value); err != nil {
 			r.log.Warn("stored configuration not taken", reporter.Error(err))
-			time.Sleep(storeRetry)
+			r.pause(storeRetry)
 			continue
 		}
 		v = ent.Version
 	}
 }
 
+// pause waits for d or until the router stops.
+func (r *Router) pause(d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.ctx.Done():
+	}
+}
+
 func (r *Router) noteStore(err error) {
 	ok := err == nil || errors.Is(err, storer.ErrAbsent)
 	r.board.mu.Lock()
--- a/starter/fleet.go
+++ b/starter/fleet.go
@@ -103,7 +103,7 @@
 		}
 		f.Agents = append(f.Agents, a)
 		addresses = append(addresses, a.Address())
-		f.Standins.Instances.Set(lister.Instance{Name: string(a.Origin().Target), Address: a.Address(), State: lister.Live})
+		f.Standins.Instances.Set(lister.Instance{Role: lister.Agent, Name: string(a.Origin().Target), Address: a.Address(), State: lister.Live})
 	}
 	return addresses, nil
 }
@@ -125,6 +125,7 @@
 		return err
 	}
 	f.Routers = append(f.Routers, r)
+	f.Standins.Instances.Set(lister.Instance{Role: lister.Router, Name: name, Address: r.Address(), State: lister.Live})
 	return nil
 }
 
