agent: correct slots and prefixes by the engine's reports

Cause: load and cache reports were spoken by the stand-in and read by nobody. The load report lags, so that only what is beyond the most that ran here lately counts as foreign work, and a target that lies loses half of its slots at most. Conclusion: which model a target serves is still said by the operators' document alone; placement by load is open.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -80,6 +80,7 @@
 	a := assemble(cfg, sec, l.Addr().String())
 	a.serve(l)
 	go a.loop()
+	go a.followEngine()
 	a.log.Info("agent started", zap.String("address", a.address), zap.Stringer("origin", a.self))
 	return a, nil
 }
--- a/cmd/buckthorndrum/load.go
+++ b/cmd/buckthorndrum/load.go
@@ -62,6 +62,8 @@
 func measure(seed uint64, out io.Writer) {
 	ways := []measurer.Way{measurer.Ours, measurer.FirstCome, measurer.LeastLoaded, measurer.Central}
 	rs := measurer.RunAll(measurer.Sizes(), measurer.Scenarios(), ways, seed, runtime.NumCPU())
+	others := []measurer.Way{measurer.Strict, measurer.Deadline}
+	rs = append(rs, measurer.RunAll(measurer.Sizes(), measurer.Floods(), others, seed, runtime.NumCPU())...)
 	measurer.Write(out, rs, seed)
 }
 
--- a/imitator/engine.go
+++ b/imitator/engine.go
@@ -101,7 +101,7 @@
 	Prompt    string `json:"prompt"`
 	MaxTokens int    `json:"max_tokens"`
 	// Prefix is the hash of the prompt prefix, zero if none.
-	Prefix uint64 `json:"prefix,omitempty"`
+	Prefix uint32 `json:"prefix,omitempty"`
 	// From is how many tokens of the answer exist already.
 	From int `json:"from,omitempty"`
 }
--- a/imitator/engine_reports.go
+++ b/imitator/engine_reports.go
@@ -52,10 +52,17 @@
 	writeJSON(w, http.StatusOK, o)
 }
 
+// Model returns the model that was ordered last, or the one loaded at the start.
+func (e *Engine) Model() string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.model
+}
+
 // CacheEvent tells that a prompt prefix was cached or evicted.
 type CacheEvent struct {
 	Sequence uint64 `json:"sequence"`
-	Prefix   uint64 `json:"prefix"`
+	Prefix   uint32 `json:"prefix"`
 	Evicted  bool   `json:"evicted"`
 }
 
@@ -70,13 +77,13 @@
 type prefixCache struct {
 	limit  int
 	gap    int
-	held   []uint64
+	held   []uint32
 	events []CacheEvent
 	next   uint64
 }
 
 // take reports whether prefix p is cached, and caches it.
-func (c *prefixCache) take(p uint64) bool {
+func (c *prefixCache) take(p uint32) bool {
 	if p == 0 || c.limit == 0 {
 		return false
 	}
@@ -98,7 +105,7 @@
 // maxEvents bounds the events that are still reported.
 const maxEvents = 1024
 
-func (c *prefixCache) event(p uint64, evicted bool) {
+func (c *prefixCache) event(p uint32, evicted bool) {
 	c.next++
 	if c.gap > 0 && c.next%uint64(c.gap) == 0 {
 		return
--- a/measurer/baselines.go
+++ b/measurer/baselines.go
@@ -235,15 +235,33 @@
 	waiting map[identifier.Pool]map[identifier.Workspace][]*job
 	served  map[identifier.Workspace]identifier.Cost
 	count   map[identifier.Pool]int
+	// before tells which of two workspaces is served first.
+	before func(s *central, p identifier.Pool, a, b identifier.Workspace) bool
 }
 
-func newCentral(w *world) *central {
+func leastServed(s *central, _ identifier.Pool, a, b identifier.Workspace) bool {
+	if s.served[a] != s.served[b] {
+		return s.served[a] < s.served[b]
+	}
+	return a < b
+}
+
+func earliestDeadline(s *central, p identifier.Pool, a, b identifier.Workspace) bool {
+	da, db := s.waiting[p][a][0].deadline, s.waiting[p][b][0].deadline
+	if da != db {
+		return da < db
+	}
+	return a < b
+}
+
+func newCentral(w *world, before func(*central, identifier.Pool, identifier.Workspace, identifier.Workspace) bool) *central {
 	w.clock.every(sampleEvery, w.gauges.sample)
 	return &central{
 		w:       w,
 		waiting: map[identifier.Pool]map[identifier.Workspace][]*job{models: {}, registry: {}},
 		served:  map[identifier.Workspace]identifier.Cost{},
 		count:   map[identifier.Pool]int{},
+		before:  before,
 	}
 }
 
@@ -279,7 +297,7 @@
 		if len(js) == 0 {
 			continue
 		}
-		if best == "" || s.served[w] < s.served[best] || (s.served[w] == s.served[best] && w < best) {
+		if best == "" || s.before(s, p, w, best) {
 			best = w
 		}
 	}
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -18,6 +18,10 @@
 	FirstCome   Way = "first come"
 	LeastLoaded Way = "least loaded"
 	Central     Way = "central"
+	// Strict and Deadline replace ours' shares by strict priority of urgency,
+	// and the central queue's fairness by the earliest deadline.
+	Strict   Way = "strict priority"
+	Deadline Way = "deadline order"
 )
 
 // Result is what one run measured.
@@ -77,9 +81,16 @@
 	case LeastLoaded:
 		return newLeastLoaded(w)
 	case Central:
-		return newCentral(w)
+		return newCentral(w, leastServed)
+	case Deadline:
+		return newCentral(w, earliestDeadline)
+	case Strict:
+		for i := range w.kinds {
+			w.kinds[i].share = 0
+		}
+		return newOurs(w, boundlessWindow)
 	}
-	return newOurs(w)
+	return newOurs(w, creditWindow)
 }
 
 func (g *gauges) result() Result {
--- a/measurer/ours.go
+++ b/measurer/ours.go
@@ -44,7 +44,9 @@
 	// cutAgents tells whether counters between two agents are lost.
 	cutAgents func(a, b *oursAgent) bool
 	lossy     bool
-	coders    map[[2]string]*messenger.Coder
+	// window is the credit window.
+	window identifier.Cost
+	coders map[[2]string]*messenger.Coder
 }
 
 type oursRouter struct {
@@ -71,8 +73,12 @@
 	toldFull bool
 }
 
-func newOurs(w *world) *ours {
-	o := &ours{w: w, byName: map[identifier.Target]*oursAgent{}, coders: map[[2]string]*messenger.Coder{}, routerBy: map[identifier.Router]*oursRouter{}}
+// boundlessWindow is a credit window within which all levels count as equal, so
+// that urgency alone decides.
+const boundlessWindow = 1 << 50
+
+func newOurs(w *world, window identifier.Cost) *ours {
+	o := &ours{w: w, window: window, byName: map[identifier.Target]*oursAgent{}, coders: map[[2]string]*messenger.Coder{}, routerBy: map[identifier.Router]*oursRouter{}}
 	o.cut = func(*oursRouter, *oursAgent) bool { return false }
 	o.cutAgents = func(_, _ *oursAgent) bool { return false }
 	for i, t := range w.targets {
@@ -112,7 +118,7 @@
 		Slots:        a.target.slots,
 		MaxAhead:     maxAhead,
 		GrantTTL:     scheduler.DefaultGrantTTL,
-		CreditWindow: creditWindow,
+		CreditWindow: o.window,
 		BacklogAge:   scheduler.DefaultBacklogAge,
 		IdleAfter:    scheduler.DefaultIdleAfter,
 		StuckAfter:   scheduler.DefaultStuckAfter,
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -127,6 +127,18 @@
 	return list
 }
 
+// Floods returns the steady run and those of the floods, in which the orders of
+// work are compared.
+func Floods() []Scenario {
+	var list []Scenario
+	for _, sc := range Scenarios() {
+		if sc.Flood != "" || sc.Name == steadyName {
+			list = append(list, sc)
+		}
+	}
+	return list
+}
+
 func floodName(what string, by float64) string {
 	return what + " floods " + map[float64]string{2: "2x", 10: "10x", 50: "50x"}[by]
 }
--- a/scheduler/pace.go
+++ b/scheduler/pace.go
@@ -20,6 +20,11 @@
 	// slots is how many requests may run now, from 1 to most.
 	slots int
 	most  int
+	// foreign is how many slots are taken by work that did not come from here,
+	// at most half of them.
+	foreign int
+	// peak is the most that ran since the last report, and before it.
+	peak, lastPeak int
 	// progressed is when running work last made progress.
 	progressed identifier.Instant
 	// window is when the present window began.
@@ -54,12 +59,24 @@
 }
 
 func (p *pace) accrue(now identifier.Instant, running int) {
+	p.peak = max(p.peak, running)
 	if p.last != 0 {
 		p.busy += time.Duration(running) * now.Sub(p.last)
 	}
 	p.last = now
 }
 
+// reported corrects the slots by the target's own count, which lags. A target
+// that lies loses half of its slots at most.
+func (p *pace) reported(batch int) {
+	known := max(p.peak, p.lastPeak)
+	p.foreign = min(max(batch-known, 0), p.slots/2)
+	p.lastPeak, p.peak = p.peak, 0
+}
+
+// free returns the slots that are left for work from here.
+func (p *pace) free() int { return p.slots - p.foreign }
+
 // meanWindow is over how many events a mean time is taken.
 const meanWindow = 8
 
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -100,7 +100,7 @@
 
 // resume starts the oldest parked request of class c again.
 func (s *Scheduler) resume(now identifier.Instant, lane identifier.Kind, c *class, acts *Actions) bool {
-	if s.running >= s.pace.slots {
+	if s.running >= s.pace.free() {
 		return false
 	}
 	r := c.parked[0]
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -177,7 +177,7 @@
 
 // startQueued moves handed-over requests to the target while slots are free.
 func (s *Scheduler) startQueued(now identifier.Instant, acts *Actions) {
-	for len(s.queued) > 0 && s.running < s.pace.slots {
+	for len(s.queued) > 0 && s.running < s.pace.free() {
 		r := s.queued[0]
 		s.queued = s.queued[1:]
 		s.start(now, r, acts)
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -106,6 +106,14 @@
 // no workspace's period is started anew.
 func (s *Scheduler) SetSynced(ok bool) { s.unsynced = !ok }
 
+// Reported notes how many requests the target says that it runs. The report
+// lags, so it is compared with the most that ran here lately; what is beyond
+// that is somebody else's work, and takes slots away.
+func (s *Scheduler) Reported(now identifier.Instant, batch int) Actions {
+	s.pace.reported(batch)
+	return s.fill(now)
+}
+
 // Idle tells whether no grant is outstanding and no request is in hand.
 func (s *Scheduler) Idle() bool { return len(s.grants) == 0 && len(s.runs) == 0 }
 
@@ -164,5 +172,5 @@
 	if s.pace.stuck(now, s.cfg, s.running) {
 		return 0
 	}
-	return s.pace.slots + s.pace.ahead(s.cfg.MaxAhead) - s.running - len(s.queued) - len(s.grants)
+	return s.pace.free() + s.pace.ahead(s.cfg.MaxAhead) - s.running - len(s.queued) - len(s.grants)
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -303,3 +303,35 @@
 		})
 	}
 }
+
+// TestReported checks that a lagging report of our own work changes nothing,
+// that foreign work takes slots, and that a target that lies keeps half of them.
+func TestReported(t *testing.T) {
+	for name, tc := range map[string]struct {
+		report int
+		want   int
+	}{
+		"own work":     {report: 2, want: 1},
+		"foreign work": {report: 3, want: 0},
+		"a lie":        {report: 1 << 30, want: 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			cfg := config()
+			cfg.MaxAhead = 0
+			s := scheduler.New(cfg, counter.New(counter.Config{Self: self}))
+			c := identifier.Class{Kind: "draft", Workspace: "a"}
+			acts := s.Offered(1, "r", []scheduler.Offer{{Class: c, Count: 2}})
+			for i, g := range acts.Grants {
+				if _, err := s.Accept(1, g.ID, scheduler.Handover{Request: identifier.Request(fmt.Sprint(i)), Class: c}); err != nil {
+					t.Fatal(err)
+				}
+			}
+			s.Tick(2)
+			s.Reported(3, tc.report)
+			s.Offered(4, "r", []scheduler.Offer{{Class: c, Count: 3}})
+			if got := s.Load().Granted; got != tc.want {
+				t.Fatalf("%d requests were granted, want %d", got, tc.want)
+			}
+		})
+	}
+}
--- a/starter/standins.go
+++ b/starter/standins.go
@@ -84,7 +84,6 @@
 
 func engineConfig(i int) imitator.EngineConfig {
 	return imitator.EngineConfig{
-		Model:              model,
 		BaseStep:           engineStep,
 		StepPerStream:      enginePerStream,
 		PrefillPerKilobyte: enginePrefill,
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -106,6 +106,12 @@
 		Expect(total).To(Equal(1))
 	})
 
+	It("orders the pool's model at engines that have another one", func() {
+		for _, e := range f.Standins.Engines {
+			Eventually(e.Model, "10s").Should(Equal("drafter"))
+		}
+	})
+
 	It("refuses what is malformed without running it", func() {
 		for body, want := range map[string]int{
 			`{"kind":"ticket","payload":{}}`:   http.StatusBadRequest,
