router: speak of the key in every refusal of a submission

Found by reading every place that says so without asking the key's agent: refusals before a request is taken in (router without a configuration, wrong token, malformed body) spoke of the attempt, also to a repeat of a key that had run at another router. Change: every refusal of a submission that carries a key and is not marked first says unknown. Figures: a test with six such refusals failed at the first one before and passes now.

--- a/cmd/buckthorndrum/load.go
+++ b/cmd/buckthorndrum/load.go
@@ -12,6 +12,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 
+	"buckthorndrum/estimator"
 	"buckthorndrum/loader"
 	"buckthorndrum/measurer"
 	"buckthorndrum/starter"
@@ -31,6 +32,7 @@
 	duration := fs.Duration("duration", defaultLoadTime, "how long to drive the fleet")
 	callers := fs.Int("callers", defaultCallers, "requests that each workspace keeps open")
 	seed := fs.Uint64("seed", 1, "seed of the random choices")
+	capacity := fs.Bool("capacity", false, "measure the slopes of each role instead, and print the tables of docs/CAPACITY.md")
 	virtual := fs.Bool("virtual", false, "measure the decision code in virtual time instead, and print the tables of docs/MEASURES.md")
 	return &ffcli.Command{
 		Name:       "load",
@@ -46,6 +48,9 @@
 				measure(*seed, out)
 				return nil
 			}
+			if *capacity {
+				return estimator.Write(out)
+			}
 			p, ok := loader.Profiles()[*profile]
 			if !ok {
 				return errors.Errorf("profile %q does not exist", *profile)
--- a/estimator/roles.go
+++ b/estimator/roles.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"buckthorndrum/collector"
 	"buckthorndrum/configurator"
 	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
@@ -116,6 +117,19 @@
 	})
 }
 
+// collectorMemory is what an agent holds of the totals of n workspaces.
+func collectorMemory(n int) float64 {
+	return held(func() any {
+		node := collector.New(self)
+		root := identifier.Origin{Target: "root", Incarnation: 1}
+		for i := range n {
+			w := workspace(i)
+			node.TakeDown(collector.Totals{Shard: collector.ShardOf(w), Root: root, Rows: []collector.Total{{Workspace: w, Version: 1, Value: 1}}})
+		}
+		return node
+	})
+}
+
 func keyMemory(n int) float64 {
 	return held(func() any {
 		k := keeper.New()
--- a/estimator/slopes.go
+++ b/estimator/slopes.go
@@ -25,6 +25,7 @@
 		{"agent backlog memory", "backlogged classes", "B", backlogged, schedulerMemory},
 		{"counter row merge", "backlogged workspaces", "µs", backlogged, counterMerge},
 		{"counter memory", "backlogged workspaces", "B", backlogged, counterMemory},
+		{"collector memory", "backlogged workspaces", "B", backlogged, collectorMemory},
 		{"key memory", "used keys", "B", []int{250_000, 500_000, 1_000_000, 2_000_000}, keyMemory},
 		{"router request", "waiting classes", "µs", backlogged, func(n int) float64 { return routerCycle(n, 64) }},
 		{"router request by links", "links of the pool", "µs", links, func(n int) float64 { return routerCycle(100, n) }},
--- a/measurer/gauges.go
+++ b/measurer/gauges.go
@@ -27,6 +27,11 @@
 	// control is the control bytes by node.
 	control map[string]int64
 	frames  int64
+	// requestBytes and requestFrames are those of offers, grants and declines,
+	// and handed is how many requests were handed over.
+	requestBytes  int64
+	requestFrames int64
+	handed        int
 	// served is the cost delivered in the measured time, by pool.
 	served map[identifier.Pool]float64
 	lost   int
@@ -155,6 +160,21 @@
 	g.control[to] += int64(n)
 }
 
+// request counts a control message that belongs to a request.
+func (g *gauges) request(n int) {
+	if g.measuring() {
+		g.requestFrames++
+		g.requestBytes += int64(n)
+	}
+}
+
+// hand counts a request that was handed over.
+func (g *gauges) hand() {
+	if g.measuring() {
+		g.handed++
+	}
+}
+
 // sample takes the gap.
 func (g *gauges) sample() {
 	if !g.measuring() {
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -41,12 +41,16 @@
 	// ControlMax and ControlMean are control bytes a second of one node.
 	ControlMax  float64
 	ControlMean float64
-	Lost        int
-	Twice       int
-	Grants      int
-	Declines    int
-	HeldBytes   int
-	Took        time.Duration
+	// RequestFrames and RequestBytes are the control frames and bytes of offers,
+	// grants and declines for each request handed over.
+	RequestFrames float64
+	RequestBytes  float64
+	Lost          int
+	Twice         int
+	Grants        int
+	Declines      int
+	HeldBytes     int
+	Took          time.Duration
 }
 
 // KindResult is what the callers of one kind saw.
@@ -115,6 +119,8 @@
 			First95:   time.Duration(k.first.ValueAtQuantile(95)) * time.Microsecond,
 		}
 	}
+	res.RequestFrames = float64(g.requestFrames) / float64(max(1, g.handed))
+	res.RequestBytes = float64(g.requestBytes) / float64(max(1, g.handed))
 	var sum int64
 	for _, n := range g.control {
 		sum += n
--- a/measurer/ours.go
+++ b/measurer/ours.go
@@ -235,6 +235,9 @@
 	f.Revision = 1
 	n := o.size(from, to, f)
 	o.w.gauges.traffic(from, to, n)
+	if len(f.Offers)+len(f.Grants)+len(f.Declines) > 0 {
+		o.w.gauges.request(n)
+	}
 	return n
 }
 
@@ -379,6 +382,7 @@
 			if err == nil {
 				delete(r.jobs, j.id)
 				o.w.gauges.leave(j)
+				o.w.gauges.hand()
 				o.apply(a, acts)
 				return
 			}
--- a/router/callers.go
+++ b/router/callers.go
@@ -53,25 +53,12 @@
 }
 
 func (r *Router) handleSubmit(ctx iris.Context) {
-	w, s, ok := r.authenticate(ctx)
-	if !ok {
-		return
-	}
-	sub, p := readSubmission(ctx, s)
-	if p != nil {
-		sendProblem(ctx, *p)
-		return
-	}
-	c, p := r.newCall(w, s, sub)
+	k, p := r.readAttempt(ctx)
 	if p != nil {
-		sendProblem(ctx, *p)
-		return
-	}
-	k := &keyed{call: c, value: ctx.GetHeader("Idempotency-Key"), attempt: &claimer.Attempt{First: ctx.GetHeader("Idempotency-Attempt") == "first"}}
-	if p := checkKeyUse(k); p != nil {
-		sendProblem(ctx, *p)
+		sendProblem(ctx, speakOfKey(ctx, *p))
 		return
 	}
+	c := k.call
 	r.respond(ctx, c, func(run context.Context, out sink) ending {
 		if k.value != "" {
 			k.out = out
@@ -81,6 +68,42 @@
 	})
 }
 
+const (
+	// keyHeader carries the idempotency key.
+	keyHeader = "Idempotency-Key"
+	// attemptHeader marks the first attempt under a key.
+	attemptHeader = "Idempotency-Attempt"
+)
+
+func firstAttempt(ctx iris.Context) bool { return ctx.GetHeader(attemptHeader) == "first" }
+
+// speakOfKey turns the outcome of a refused attempt into that of its key: unless
+// it is the key's first, another attempt may have run.
+func speakOfKey(ctx iris.Context, p Problem) Problem {
+	if ctx.GetHeader(keyHeader) != "" && !firstAttempt(ctx) {
+		p.Outcome = identifier.Unknown
+	}
+	return p
+}
+
+// readAttempt checks a submission up to the point where it may run.
+func (r *Router) readAttempt(ctx iris.Context) (*keyed, *Problem) {
+	w, s, p := r.identify(ctx)
+	if p != nil {
+		return nil, p
+	}
+	sub, p := readSubmission(ctx, s)
+	if p != nil {
+		return nil, p
+	}
+	c, p := r.newCall(w, s, sub)
+	if p != nil {
+		return nil, p
+	}
+	k := &keyed{call: c, value: ctx.GetHeader(keyHeader), attempt: &claimer.Attempt{First: firstAttempt(ctx)}}
+	return k, checkKeyUse(k)
+}
+
 func readSubmission(ctx iris.Context, s *configurator.Snapshot) (Submission, *Problem) {
 	var sub Submission
 	limit := s.Document.Limits.MaxBodyBytes
--- a/router/handler.go
+++ b/router/handler.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/kataras/iris/v12"
 	"github.com/pkg/errors"
@@ -55,18 +56,28 @@
 	return token
 }
 
-// authenticate returns the workspace of a caller and the configuration that
-// says so, or answers the call and returns false.
-func (r *Router) authenticate(ctx iris.Context) (identifier.Workspace, *configurator.Snapshot, bool) {
+// identify returns the workspace of a caller and the configuration that says so.
+func (r *Router) identify(ctx iris.Context) (identifier.Workspace, *configurator.Snapshot, *Problem) {
 	s := r.snapshot()
 	if s == nil {
-		sendProblem(ctx, fault(http.StatusServiceUnavailable, "The router has no configuration yet.", "", "not_ready"))
-		return "", nil, false
+		p := fault(http.StatusServiceUnavailable, "The router has no configuration yet.", "", "not_ready")
+		p.RetryAfterMS = time.Second.Milliseconds()
+		return "", nil, &p
 	}
 	w, ok := s.WorkspaceOf(signer.HashToken(bearer(ctx)))
 	if !ok {
-		sendProblem(ctx, fault(http.StatusUnauthorized, "The bearer token is not valid.", "", "unauthorized"))
-		return "", nil, false
+		p := fault(http.StatusUnauthorized, "The bearer token is not valid.", "", "unauthorized")
+		return "", nil, &p
+	}
+	return w, s, nil
+}
+
+// authenticate returns the same, or answers the call and returns false.
+func (r *Router) authenticate(ctx iris.Context) (identifier.Workspace, *configurator.Snapshot, bool) {
+	w, s, p := r.identify(ctx)
+	if p != nil {
+		p.Outcome = identifier.Unknown // The call asks for an earlier request.
+		sendProblem(ctx, *p)
 	}
-	return w, s, true
+	return w, s, p == nil
 }
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -106,6 +106,29 @@
 		Expect(total).To(Equal(1))
 	})
 
+	It("never says not run of a key that another router may have run", func() {
+		f.Standins.Store.SetFaults(imitator.StoreFaults{Outage: true})
+		defer f.Standins.Store.SetFaults(imitator.StoreFaults{})
+		Expect(f.StartRouter("cold", "dc1", 0, nil)).To(Succeed())
+		cold := "http://" + f.Routers[2].Address()
+		key := uuid.Must(uuid.NewV7()).String()
+		good := `{"kind":"ticket","payload":{"bale":8}}`
+		for _, tc := range []struct{ url, token, body string }{
+			{cold, token, good},
+			{urls[0], "wrong", good},
+			{urls[0], token, `{"kind":`},
+			{urls[0], token, `{"kind":"nonesuch"}`},
+			{urls[0], token, `{"kind":"ticket","deadline_ms":-1}`},
+			{urls[0], token, good}, // The store is down, so that the key cannot be looked up.
+		} {
+			status, body := post(tc.url, tc.token, tc.body, map[string]string{"Idempotency-Key": key})
+			Expect(status).To(BeNumerically(">=", 400))
+			Expect(body).To(ContainSubstring(`"outcome":"unknown"`), "%+v", tc)
+			_, body = post(tc.url, tc.token, tc.body, map[string]string{"Idempotency-Key": key, "Idempotency-Attempt": "first"})
+			Expect(body).To(ContainSubstring(`"outcome":"not_run"`), "%+v, first", tc)
+		}
+	})
+
 	It("orders the pool's model at engines that have another one", func() {
 		for _, e := range f.Standins.Engines {
 			Eventually(e.Model, "10s").Should(Equal("drafter"))
