linker: dial links in one place

Cause: routers and agents opened links with the same lines, the subcommands of the two processes were twins, and six test packages fixed their seeds alike. Change: linker.Dialer, processCommand and the package seeder.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -52,7 +52,7 @@
 	// pacer spaces the publishing of counters.
 	pacer   counter.Pacer
 	client  *http.Client
-	links   *http.Client
+	dialer  linker.Dialer
 	server  *http.Server
 	address string
 	started time.Time
@@ -100,7 +100,6 @@
 		metrics: newMetrics(),
 		pacer:   counter.Pacer{Budget: counter.DefaultBudget},
 		client:  newTargetClient(),
-		links:   sec.LinkClient(),
 		address: address,
 		started: time.Now(),
 		done:    make(chan struct{}),
@@ -108,6 +107,13 @@
 	a.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "buckthorndrum_agent_running", Help: "Requests that run at the target.",
 	}, func() float64 { return float64(a.Load().Running) }))
+	a.dialer = linker.Dialer{
+		Scheme:  sec.Scheme(),
+		Client:  sec.LinkClient(),
+		Sign:    func(h http.Header) { sec.Sign(h, string(cfg.Target), time.Now()) },
+		Hello:   a.hello,
+		Traffic: &a.traffic,
+	}
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a
 }
--- a/agent/links.go
+++ b/agent/links.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"net/http"
 	"sort"
 	"time"
@@ -156,15 +155,8 @@
 	return missing
 }
 
-// dialTimeout bounds the opening of a link.
-const dialTimeout = 2 * time.Second
-
 func (a *Agent) dialPeer(t configurator.Target) {
-	ctx, cancel := context.WithTimeout(a.ctx, dialTimeout)
-	defer cancel()
-	h := http.Header{}
-	a.sec.Sign(h, string(a.self.Target), time.Now())
-	l, err := linker.Dial(ctx, a.sec.Scheme()+"://"+t.Agent+"/link", h, a.links, a.hello(), &a.traffic)
+	l, err := a.dialer.Dial(a.ctx, t.Agent)
 	if err != nil {
 		a.log.Debug("agent not reached", zap.String("peer", string(t.ID)), reporter.Error(err))
 		a.dropPeer(t.ID, nil)
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -1,9 +1,7 @@
 package claimer_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -11,16 +9,10 @@
 	"buckthorndrum/claimer"
 	"buckthorndrum/identifier"
 	"buckthorndrum/keeper"
+	"buckthorndrum/seeder"
 )
 
-// TestMain fixes the seed and the number of histories unless the command line
-// gives others.
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.checks", "20000")
-	_ = flag.Set("rapid.seed", "20261204")
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeder.Main(m, 20000) }
 
 // agentFake is one agent, over all its incarnations.
 type agentFake struct {
--- a/cmd/buckthorndrum/agent.go
+++ b/cmd/buckthorndrum/agent.go
@@ -61,21 +61,7 @@
 
 func newAgentCommand(errOut io.Writer) *ffcli.Command {
 	var f agentFlags
-	fs := newFlags("agent", errOut)
-	f.register(fs)
-	return &ffcli.Command{
-		Name:       "agent",
-		ShortUsage: "buckthorndrum agent [flags]",
-		ShortHelp:  "run the agent beside one target",
-		FlagSet:    fs,
-		Options:    options(),
-		Exec: func(ctx context.Context, args []string) error {
-			if err := noArguments(args); err != nil {
-				return err
-			}
-			return runAgent(ctx, &f)
-		},
-	}
+	return processCommand("agent", "run the agent beside one target", errOut, f.register, func(ctx context.Context) error { return runAgent(ctx, &f) })
 }
 
 func runAgent(ctx context.Context, f *agentFlags) error {
--- a/cmd/buckthorndrum/process.go
+++ b/cmd/buckthorndrum/process.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"flag"
+	"io"
 	"strings"
 	"time"
 
+	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -63,6 +65,25 @@
 	return log, nil
 }
 
+// processCommand returns the subcommand that runs a process.
+func processCommand(name, help string, errOut io.Writer, register func(*flag.FlagSet), run func(context.Context) error) *ffcli.Command {
+	fs := newFlags(name, errOut)
+	register(fs)
+	return &ffcli.Command{
+		Name:       name,
+		ShortUsage: "buckthorndrum " + name + " [flags]",
+		ShortHelp:  help,
+		FlagSet:    fs,
+		Options:    options(),
+		Exec: func(ctx context.Context, args []string) error {
+			if err := noArguments(args); err != nil {
+				return err
+			}
+			return run(ctx)
+		},
+	}
+}
+
 // drainable is a process that can be stopped gracefully.
 type drainable interface {
 	Drain(ctx context.Context) error
--- a/cmd/buckthorndrum/router.go
+++ b/cmd/buckthorndrum/router.go
@@ -61,21 +61,7 @@
 
 func newRouterCommand(errOut io.Writer) *ffcli.Command {
 	var f routerFlags
-	fs := newFlags("router", errOut)
-	f.register(fs)
-	return &ffcli.Command{
-		Name:       "router",
-		ShortUsage: "buckthorndrum router [flags]",
-		ShortHelp:  "run a router, which takes callers' requests",
-		FlagSet:    fs,
-		Options:    options(),
-		Exec: func(ctx context.Context, args []string) error {
-			if err := noArguments(args); err != nil {
-				return err
-			}
-			return runRouter(ctx, &f)
-		},
-	}
+	return processCommand("router", "run a router, which takes callers' requests", errOut, f.register, func(ctx context.Context) error { return runRouter(ctx, &f) })
 }
 
 func runRouter(ctx context.Context, f *routerFlags) error {
--- a/collector/collector_test.go
+++ b/collector/collector_test.go
@@ -1,23 +1,17 @@
 package collector_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"buckthorndrum/collector"
 	"buckthorndrum/identifier"
+	"buckthorndrum/seeder"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.checks", "1000")
-	_ = flag.Set("rapid.seed", "1")
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeder.Main(m, 1000) }
 
 const members = 12
 
--- a/counter/counter_test.go
+++ b/counter/counter_test.go
@@ -1,22 +1,16 @@
 package counter_test
 
 import (
-	"flag"
-	"os"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
+	"buckthorndrum/seeder"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.checks", "2000")
-	_ = flag.Set("rapid.seed", "1")
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeder.Main(m, 2000) }
 
 var spaces = []identifier.Workspace{"a", "b", "c"}
 
--- a/estimator/wire.go
+++ b/estimator/wire.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"syscall"
 	"time"
 
@@ -73,7 +74,7 @@
 	}))
 	defer srv.Close()
 	hello.Role = messenger.RouterRole
-	l, err := linker.Dial(context.Background(), srv.URL, nil, http.DefaultClient, hello, &t)
+	l, err := dialer(http.DefaultClient, hello, &t).Dial(context.Background(), strings.TrimPrefix(srv.URL, "http://"))
 	if err != nil {
 		panic(err)
 	}
@@ -93,6 +94,10 @@
 	return float64((processorTime() - before).Microseconds())
 }
 
+func dialer(c *http.Client, h messenger.Hello, t *linker.Traffic) linker.Dialer {
+	return linker.Dialer{Scheme: "http", Client: c, Sign: func(http.Header) {}, Hello: func() messenger.Hello { return h }, Traffic: t}
+}
+
 // processorTime is the time that this process has spent on processors.
 func processorTime() time.Duration {
 	var u syscall.Rusage
@@ -121,7 +126,7 @@
 	b := held(func() any {
 		for i := range n {
 			h := messenger.Hello{Role: messenger.RouterRole, Name: fmt.Sprint("r", i), Incarnation: identifier.Incarnation(i)}
-			l, err := linker.Dial(context.Background(), "http://"+lis.Addr().String(), nil, &http.Client{Transport: &http.Transport{}}, h, &t)
+			l, err := dialer(&http.Client{Transport: &http.Transport{}}, h, &t).Dial(context.Background(), lis.Addr().String())
 			if err != nil {
 				panic(err)
 			}
--- a/linker/link.go
+++ b/linker/link.go
@@ -60,8 +60,31 @@
 	return join(r.Context(), conn, self, t, r.RemoteAddr)
 }
 
-// Dial opens a link to address and exchanges hellos.
-func Dial(ctx context.Context, url string, header http.Header, client *http.Client, self messenger.Hello, t *Traffic) (*Link, error) {
+// Dialer opens links of one process.
+type Dialer struct {
+	// Scheme is http or https.
+	Scheme string
+	Client *http.Client
+	// Sign adds the proof that the process belongs to the fleet.
+	Sign func(http.Header)
+	// Hello introduces the process.
+	Hello   func() messenger.Hello
+	Traffic *Traffic
+}
+
+// dialTimeout bounds the opening of a link.
+const dialTimeout = 2 * time.Second
+
+// Dial opens a link to the process at address, host:port, and exchanges hellos.
+func (d Dialer) Dial(ctx context.Context, address string) (*Link, error) {
+	limited, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	header := http.Header{}
+	d.Sign(header)
+	return dial(limited, d.Scheme+"://"+address+"/link", header, d.Client, d.Hello(), d.Traffic)
+}
+
+func dial(ctx context.Context, url string, header http.Header, client *http.Client, self messenger.Hello, t *Traffic) (*Link, error) {
 	conn, resp, err := websocket.Dial(ctx, url, &websocket.DialOptions{HTTPHeader: header, HTTPClient: client})
 	if resp != nil && resp.Body != nil {
 		_ = resp.Body.Close()
--- a/queuer/queuer_test.go
+++ b/queuer/queuer_test.go
@@ -1,9 +1,7 @@
 package queuer_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,14 +11,10 @@
 	"buckthorndrum/identifier"
 	"buckthorndrum/queuer"
 	"buckthorndrum/scheduler"
+	"buckthorndrum/seeder"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.checks", "5000")
-	_ = flag.Set("rapid.seed", "1")
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeder.Main(m, 5000) }
 
 const (
 	maxQueued = 3
--- a/router/links.go
+++ b/router/links.go
@@ -1,10 +1,6 @@
 package router
 
 import (
-	"context"
-	"net/http"
-	"time"
-
 	"buckthorndrum/reporter"
 
 	"go.uber.org/zap"
@@ -66,15 +62,8 @@
 	return ts
 }
 
-// dialTimeout bounds the opening of a link.
-const dialTimeout = 2 * time.Second
-
 func (r *Router) dialAgent(t configurator.Target) {
-	ctx, cancel := context.WithTimeout(r.ctx, dialTimeout)
-	defer cancel()
-	h := http.Header{}
-	r.sec.Sign(h, string(r.cfg.Name), time.Now())
-	l, err := linker.Dial(ctx, r.sec.Scheme()+"://"+t.Agent+"/link", h, r.links, r.hello(), &r.traffic)
+	l, err := r.dialer.Dial(r.ctx, t.Agent)
 	if err != nil {
 		r.log.Debug("agent not reached", zap.String("target", string(t.ID)), reporter.Error(err))
 		r.dropAgent(t.ID, nil)
--- a/router/router.go
+++ b/router/router.go
@@ -44,9 +44,9 @@
 	log     *zap.Logger
 	traffic linker.Traffic
 	metrics *metrics
-	// client makes the calls to agents, links opens the WebSocket links.
+	// client makes the calls to agents, dialer opens the WebSocket links.
 	client *http.Client
-	links  *http.Client
+	dialer linker.Dialer
 	claims *rate.Limiter
 	server *http.Server
 	// address is where callers and operators reach the router.
@@ -101,12 +101,18 @@
 		sign:    signer.New(cfg.Security.Secret),
 		log:     cfg.Log.Named("router").With(zap.String("router", string(cfg.Name))),
 		client:  sec.Client(),
-		links:   sec.LinkClient(),
 		claims:  rate.NewLimiter(0, 1),
 		address: address,
 		done:    make(chan struct{}),
 	}
 	r.metrics = newMetrics(r)
+	r.dialer = linker.Dialer{
+		Scheme:  sec.Scheme(),
+		Client:  sec.LinkClient(),
+		Sign:    func(h http.Header) { sec.Sign(h, string(cfg.Name), time.Now()) },
+		Hello:   r.hello,
+		Traffic: &r.traffic,
+	}
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -1,9 +1,7 @@
 package scheduler_test
 
 import (
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -12,14 +10,10 @@
 	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
 	"buckthorndrum/scheduler"
+	"buckthorndrum/seeder"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.checks", "5000")
-	_ = flag.Set("rapid.seed", "1")
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeder.Main(m, 5000) }
 
 const (
 	slots    = 3
--- a/spreader/spreader_test.go
+++ b/spreader/spreader_test.go
@@ -2,9 +2,7 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -13,15 +11,11 @@
 	"buckthorndrum/configurator"
 	"buckthorndrum/identifier"
 	"buckthorndrum/messenger"
+	"buckthorndrum/seeder"
 	"buckthorndrum/spreader"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.checks", "500")
-	_ = flag.Set("rapid.seed", "1")
-	flag.Parse()
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeder.Main(m, 500) }
 
 // document returns a valid document of n workspaces whose content v marks.
 func document(n, v int) configurator.Document {
