cmd: tell usage, settings and failure apart by exit code

Cause: a stray argument ended with the code of a failure. Conclusion: scripts can rely on the codes.

--- a/cmd/buckthorndrum/check.go
+++ b/cmd/buckthorndrum/check.go
@@ -30,7 +30,7 @@
 				return err
 			}
 			if *router == "" && *agent == "" && *config == "" {
-				return errors.New("give at least one of -router, -agent and -config")
+				return usageError{errors.New("give at least one of -router, -agent and -config")}
 			}
 			return checkFiles(*router, *agent, *config, out)
 		},
--- a/cmd/buckthorndrum/load.go
+++ b/cmd/buckthorndrum/load.go
@@ -53,7 +53,7 @@
 			}
 			p, ok := loader.Profiles()[*profile]
 			if !ok {
-				return errors.Errorf("profile %q does not exist", *profile)
+				return usageError{errors.Errorf("profile %q does not exist", *profile)}
 			}
 			return runLoad(ctx, loader.Config{
 				Routers: list(*urls), Engine: *engine, Profile: p, Duration: *duration, Callers: *callers, Seed: *seed,
--- a/cmd/buckthorndrum/main.go
+++ b/cmd/buckthorndrum/main.go
@@ -33,6 +33,15 @@
 // Unwrap returns the cause.
 func (e settingsError) Unwrap() error { return e.err }
 
+// usageError marks a command line that makes no sense.
+type usageError struct{ err error }
+
+// Error implements error.
+func (e usageError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e usageError) Unwrap() error { return e.err }
+
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
@@ -52,11 +61,14 @@
 // report prints an error and returns the exit code that belongs to it.
 func report(err error, errOut io.Writer, code int) int {
 	var bad settingsError
+	var usage usageError
 	switch {
 	case err == nil:
 		return exitOK
 	case errors.Is(err, flag.ErrHelp):
 		return exitUsage
+	case errors.As(err, &usage):
+		code = exitUsage
 	case errors.As(err, &bad):
 		code = exitSettings
 	case isSettingsFault(err):
@@ -121,7 +133,7 @@
 // noArguments refuses stray words.
 func noArguments(args []string) error {
 	if len(args) > 0 {
-		return errors.Errorf("unexpected argument %q", args[0])
+		return usageError{errors.Errorf("unexpected argument %q", args[0])}
 	}
 	return nil
 }
--- /dev/null
+++ b/cmd/buckthorndrum/main_test.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"testing"
+)
+
+// TestExitCodes runs command lines and checks their exit codes and what they
+// say.
+func TestExitCodes(t *testing.T) {
+	for _, tc := range []struct {
+		line string
+		code int
+		says []string
+	}{
+		{"check -router testdata/router.json", exitOK, []string{"valid router settings"}},
+		{"-help", exitUsage, []string{"router", "agent", "local", "check", "config", "status", "load"}},
+		{"router -help", exitUsage, []string{"-listen", "-seeds", "-secret"}},
+		{"config put -help", exitUsage, []string{"-if-match"}},
+		{"router -no-such-flag", exitUsage, []string{"no-such-flag"}},
+		{"router stray", exitUsage, []string{"stray"}},
+		{"check", exitUsage, []string{"-router"}},
+		{"check -router testdata/none.json", exitSettings, []string{"none.json"}},
+		{"check -router testdata/router-unknown-key.json", exitSettings, []string{"router-unknown-key.json", "colour"}},
+		{"check -router testdata/router-bad-address.json", exitSettings, []string{"router-bad-address.json", "listen", "nowhere"}},
+		{"check -agent testdata/agent-wrong-type.json", exitSettings, []string{"agent-wrong-type.json", "retain", "parse error"}},
+		{"check -config testdata/document-bad.json", exitSettings, []string{"document-bad.json", "kinds[0].pool", "kinds[0].share", "operators"}},
+		{"router -settings testdata/router-bad-address.json", exitSettings, []string{"nowhere"}},
+		{"config get -url http://127.0.0.1:1", exitFailure, []string{"/v1/config"}},
+		{"load -profile none", exitUsage, []string{"none"}},
+	} {
+		t.Run(tc.line, func(t *testing.T) {
+			var out bytes.Buffer
+			if code := run(context.Background(), strings.Fields(tc.line), &out, &out); code != tc.code {
+				t.Errorf("exit code %d, want %d: %s", code, tc.code, out.String())
+			}
+			for _, s := range tc.says {
+				if !strings.Contains(out.String(), s) {
+					t.Errorf("output lacks %q: %s", s, out.String())
+				}
+			}
+		})
+	}
+}
