router: do not try a cancelled request again

Cause: a new test cancelled a running answer through the other router. The agent ended it as unknown, and its own router took that for a broken target and ran the rest at another one, to the end. Change: the end of a cancelled request is marked final. Tests besides: resume at the other router, another workspace can neither read nor cancel, unknown processes are refused, oversized bodies, and no secret in any log of the soak. Conclusion: a cancel gives its slot back.

--- a/agent/run.go
+++ b/agent/run.go
@@ -250,6 +250,7 @@
 	if rec.handover.Key != nil {
 		a.board.keys.Finish(rec.handover.Key.Sequence, e.Outcome)
 	}
+	e.Final = rec.cancelled
 	rec.finish(e, time.Now())
 	a.metrics.outcomes.WithLabelValues(string(e.Outcome)).Inc()
 	used := rec.cost(fixed)
--- a/messenger/answer.go
+++ b/messenger/answer.go
@@ -69,6 +69,9 @@
 	Peer string `cbor:"5,keyasint,omitempty"`
 	// Detail is the error in words.
 	Detail string `cbor:"6,keyasint,omitempty"`
+	// Final tells that the request is not to be tried again: its caller has
+	// cancelled it.
+	Final bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Fault is the body of an agent's refusal.
--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -6,12 +6,16 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"os"
+	"slices"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
 
 	"buckthorndrum/identifier"
 	"buckthorndrum/imitator"
+	"buckthorndrum/starter"
 )
 
 var (
@@ -130,8 +134,24 @@
 	for _, p := range v.cut {
 		f.t.Errorf("answer to %q was cut off by a graceful stop", p)
 	}
+	f.searchLogs()
 	if v.whole == 0 || outcomes[identifier.Done] == 0 {
 		f.t.Error("nothing was answered at all")
 	}
 	f.t.Logf("ticket outcomes %v", fmt.Sprint(outcomes))
 }
+
+// searchLogs looks for secrets in the processes' logs.
+func (f *fleet) searchLogs() {
+	for _, p := range slices.Concat(f.routers, f.agents) {
+		log, err := os.ReadFile(p.log.Name())
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		for _, secret := range []string{starter.Secret, starter.OperatorToken, starter.WorkspaceToken("tanta"), "bk1~"} {
+			if strings.Contains(string(log), secret) {
+				f.t.Errorf("log of %s holds the secret %q", p.name, secret)
+			}
+		}
+	}
+}
--- a/router/handover.go
+++ b/router/handover.go
@@ -242,7 +242,7 @@
 		c.mayHaveRun = true
 	}
 	// A key that ended as not run is closed for ever and cannot be queued again.
-	return &e, c.kind.Repeatable && c.key == nil
+	return &e, c.kind.Repeatable && c.key == nil && !end.Final
 }
 
 func (r *Router) abandoned() *ending {
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -1,6 +1,7 @@
 package starter_test
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"io"
@@ -27,7 +28,15 @@
 
 // post submits a request and returns the status and the body.
 func post(url, token, body string, header map[string]string) (int, string) {
-	r, err := http.NewRequest(http.MethodPost, url+"/v1/requests", strings.NewReader(body))
+	return send(http.MethodPost, url+"/v1/requests", token, body, header)
+}
+
+func call(method, url, token, body string) (int, string) {
+	return send(method, url, token, body, nil)
+}
+
+func send(method, url, token, body string, header map[string]string) (int, string) {
+	r, err := http.NewRequest(method, url, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
 	r.Header.Set("Authorization", "Bearer "+token)
 	for k, v := range header {
@@ -135,6 +144,77 @@
 		}
 	})
 
+	It("resumes an answer at the other router, for its own workspace only", func() {
+		prompt := "a dossier tokens=30"
+		_, body := post(urls[0], token, `{"kind":"draft","prompt":"`+prompt+`"}`, nil)
+		var c router.Completion
+		Expect(json.Unmarshal([]byte(body), &c)).To(Succeed())
+		status, rest := call(http.MethodGet, urls[1]+"/v1/requests/"+string(c.Request)+"?from=10", token, "")
+		Expect(status).To(Equal(http.StatusOK), rest)
+		var tail router.Completion
+		Expect(json.Unmarshal([]byte(rest), &tail)).To(Succeed())
+		var want strings.Builder
+		for i := 10; i < 30; i++ {
+			want.WriteString(imitator.Token(prompt, i))
+		}
+		Expect(tail.Answer).To(Equal(want.String()))
+		Expect(tail.Outcome).To(Equal(identifier.Done))
+		for _, method := range []string{http.MethodGet, http.MethodDelete} {
+			status, out := call(method, urls[1]+"/v1/requests/"+string(c.Request), starter.WorkspaceToken("karachi"), "")
+			Expect(status).To(BeNumerically(">=", 400), out)
+			Expect(out).To(ContainSubstring(`"outcome":"unknown"`))
+		}
+	})
+
+	It("cancels a running answer through the other router and gives its slot back", func() {
+		r, err := http.NewRequest(http.MethodPost, urls[0]+"/v1/requests", strings.NewReader(`{"kind":"draft","prompt":"long tokens=2000"}`))
+		Expect(err).NotTo(HaveOccurred())
+		r.Header.Set("Authorization", "Bearer "+token)
+		r.Header.Set("Accept", "text/event-stream")
+		resp, err := http.DefaultClient.Do(r)
+		Expect(err).NotTo(HaveOccurred())
+		defer func() { _ = resp.Body.Close() }()
+		sc := bufio.NewScanner(resp.Body)
+		var accepted struct{ Request string }
+		for sc.Scan() && accepted.Request == "" {
+			if data, ok := strings.CutPrefix(sc.Text(), "data: "); ok {
+				Expect(json.Unmarshal([]byte(data), &accepted)).To(Succeed())
+			}
+		}
+		status, _ := call(http.MethodDelete, urls[1]+"/v1/requests/"+accepted.Request, token, "")
+		Expect(status).To(Equal(http.StatusNoContent))
+		last := ""
+		for sc.Scan() {
+			if name, ok := strings.CutPrefix(sc.Text(), "event: "); ok {
+				last = name
+			}
+		}
+		Expect(last).To(Equal("problem"))
+		Eventually(func() int {
+			n := 0
+			for _, a := range f.Agents {
+				n += a.Load().Running
+			}
+			return n
+		}, "5s").Should(BeZero())
+	})
+
+	It("lets no unknown process join a link or hand over work", func() {
+		for _, path := range []string{"/link", "/keys", "/run", "/answers/x?from=0"} {
+			method := http.MethodPost
+			if path == "/link" || strings.HasPrefix(path, "/answers") {
+				method = http.MethodGet
+			}
+			status, _ := call(method, "http://"+f.Agents[0].Address()+path, token, "{}")
+			Expect(status).To(Equal(http.StatusUnauthorized), path)
+		}
+	})
+
+	It("refuses a body that is too large", func() {
+		status, out := post(urls[0], token, `{"kind":"answer","prompt":"`+strings.Repeat("x", 2<<20)+`"}`, nil)
+		Expect(status).To(Equal(http.StatusRequestEntityTooLarge), out)
+	})
+
 	It("refuses what is malformed without running it", func() {
 		for body, want := range map[string]int{
 			`{"kind":"ticket","payload":{}}`:   http.StatusBadRequest,
