scheduler: charge a resumed request what is left of its estimate

Its trace showed levels equal and service off by what was charged and not delivered: a request that was resumed was charged a whole mean request again. Change: it is charged what its own estimate has left.

--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -107,7 +107,7 @@
 	c.parked = c.parked[1:]
 	u := s.runs[r]
 	u.lane = lane
-	cost := s.cfg.estimate(c.id.Kind, 0)
+	cost := max(u.estimate-u.used, 0)
 	u.charged += cost
 	s.charge(c.id.Workspace, cost)
 	s.lanes.charge(lane, cost)
--- a/scheduler/run.go
+++ b/scheduler/run.go
@@ -21,6 +21,8 @@
 type run struct {
 	class identifier.Class
 	lane  identifier.Kind
+	// estimate is what it was expected to cost when it was granted.
+	estimate identifier.Cost
 	// charged is what was counted for it so far.
 	charged identifier.Cost
 	// used is what it is known to have cost so far.
@@ -66,7 +68,7 @@
 	s.forget(id.Number, g)
 	s.consume(now, g)
 	s.prefixes.sent(g.prefix)
-	s.runs[h.Request] = &run{class: g.class, lane: g.lane, charged: g.cost, resumable: h.Resumable}
+	s.runs[h.Request] = &run{class: g.class, lane: g.lane, estimate: g.cost, charged: g.cost, resumable: h.Resumable}
 	s.queued = append(s.queued, h.Request)
 	return s.fill(now), nil
 }
