--- a/agent/run.go
+++ b/agent/run.go
@@ -103,7 +103,12 @@
 
 // begin takes request h over under its grant.
 func (a *Agent) begin(h messenger.Handover) (*record, *messenger.Fault) {
-	kind, _ := a.board.adopter.Current().Kind(h.Class.Kind)
+	s := a.board.adopter.Current()
+	if s == nil {
+		f := a.notRun(stepGrant, "the agent has no configuration yet")
+		return nil, &f
+	}
+	kind, _ := s.Kind(h.Class.Kind)
 	acts, err := a.board.sched.Accept(now(), *h.Grant, scheduler.Handover{
 		Request:   h.Request,
 		Class:     h.Class,
@@ -145,7 +150,7 @@
 		select {
 		case <-rec.start:
 		case <-ctx.Done():
-			a.finish(rec, kind, fixed, a.interrupted(rec, began))
+			a.finish(rec, fixed, a.interrupted(rec, began))
 			return
 		}
 		status, err, preempted := a.attempt(ctx, rec, tgt, kind, fixed)
@@ -156,7 +161,7 @@
 		if ctx.Err() != nil && err != nil {
 			tgt.cancel(rec.handover.Request)
 		}
-		a.finish(rec, kind, fixed, a.conclude(rec, began, status, err))
+		a.finish(rec, fixed, a.conclude(rec, began, status, err))
 		return
 	}
 }
@@ -244,7 +249,7 @@
 }
 
 // finish ends a request in all the books.
-func (a *Agent) finish(rec *record, _ configurator.Kind, fixed identifier.Cost, e messenger.End) {
+func (a *Agent) finish(rec *record, fixed identifier.Cost, e messenger.End) {
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
 	if rec.handover.Key != nil {
