--- a/estimator/convergence.go
+++ b/estimator/convergence.go
@@ -29,16 +29,16 @@
 // Figures of the spread.
 const (
 	// upEvery and downEvery are the times between flushes up and down, in steps.
-	upEvery   = 1
-	downEvery = 8
+	upEvery   = 2
+	downEvery = 12
 	// stepSeconds is the length of one step.
 	stepSeconds = 0.5
 	// servedPerStep is how many requests one agent serves in a step.
 	servedPerStep = 6
 	// requestCost is the mean cost of one request, in tokens.
 	requestCost = 360
-	warmSteps   = 40
-	steps       = 40
+	warmSteps   = 48
+	steps       = 48
 	batchHeader = 24 // The frame around a batch or totals, its origin by number.
 )
 
