agent: send a call again where the target refuses repeats

Change: an agent sends a keyed call up to three times to a target that runs a key at most once itself; what may have run is still never said not to have.

--- a/agent/run.go
+++ b/agent/run.go
@@ -172,7 +172,8 @@
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
 	if a.poolType() == configurator.Service {
-		return &service{a.cfg.TargetURL, a.client}, kind.Cost
+		t, _ := a.board.adopter.Current().Target(a.cfg.Target)
+		return &service{a.cfg.TargetURL, a.client, t.RefusesRepeats}, kind.Cost
 	}
 	return &engine{a.cfg.TargetURL, a.client}, 0
 }
--- a/agent/target.go
+++ b/agent/target.go
@@ -74,9 +74,31 @@
 type service struct {
 	base string
 	http *http.Client
+	// refusesRepeats tells that the service itself runs a key at most once, so
+	// that a call whose answer was lost may be sent again.
+	refusesRepeats bool
 }
 
+// maxCalls bounds how often one call is sent to a service that refuses repeats.
+const maxCalls = 3
+
 func (s *service) run(ctx context.Context, c call, emit func(string)) (int, error) {
+	status, err := s.send(ctx, c, emit)
+	if !s.refusesRepeats || c.key == "" {
+		return status, err
+	}
+	for n := 1; n < maxCalls && err != nil && ctx.Err() == nil; n++ {
+		lost := !errors.Is(err, errNotRun)
+		status, err = s.send(ctx, c, emit)
+		if lost && errors.Is(err, errNotRun) {
+			err = errors.New(err.Error()) // An earlier call may have run.
+		}
+	}
+	return status, err
+}
+
+// send sends a call once.
+func (s *service) send(ctx context.Context, c call, emit func(string)) (int, error) {
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, s.base+c.path, bytes.NewReader(c.body))
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", errNotRun, err)
