scheduler: use plain names for free slots, shares and faults

Cause: some names were metaphors or needed explaining: commons, hungry, roomy, deprived, torment, retell. Conclusion: the names are the field's.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -28,8 +28,8 @@
 	tick = 5 * time.Millisecond
 	// beatEvery is how often routers are told of the target's load.
 	beatEvery = 2 * time.Second
-	// retellEvery is how often one peer is told all counters again.
-	retellEvery = 30 * time.Second
+	// resyncEvery is how often one peer is told all counters again.
+	resyncEvery = 30 * time.Second
 	// syncWait is how long a new agent waits for all its peers' counters before
 	// it goes by what it has.
 	syncWait = 5 * time.Second
@@ -160,8 +160,8 @@
 	counters := time.NewTimer(counter.MinInterval)
 	house := time.NewTicker(housekeepEvery)
 	beats := time.NewTicker(beatEvery)
-	retell := time.NewTicker(retellEvery)
-	defer retell.Stop()
+	resync := time.NewTicker(resyncEvery)
+	defer resync.Stop()
 	defer beats.Stop()
 	defer ticks.Stop()
 	defer counters.Stop()
@@ -172,8 +172,8 @@
 			a.tick()
 		case <-counters.C:
 			counters.Reset(a.pacer.Next(a.publish()))
-		case <-retell.C:
-			a.retell()
+		case <-resync.C:
+			a.resync()
 		case <-house.C:
 			a.housekeep()
 		case <-beats.C:
@@ -191,7 +191,7 @@
 	defer a.board.mu.Unlock()
 	a.sync()
 	a.apply(a.board.sched.Tick(now()))
-	if a.board.toldFull && a.board.sched.Hungry(now()) {
+	if a.board.toldFull && a.board.sched.WantsWork(now()) {
 		a.beat()
 	}
 }
--- a/agent/answer.go
+++ b/agent/answer.go
@@ -18,12 +18,12 @@
 func (a *Agent) handleAnswer(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.Atoi(r.FormValue("from"))
 	if err != nil || from < 0 {
-		refuse(w, http.StatusBadRequest, messenger.Fault{Outcome: identifier.Unknown, Step: stepFind, Detail: "from is not a token number"})
+		reply(w, http.StatusBadRequest, messenger.Fault{Outcome: identifier.Unknown, Step: stepFind, Detail: "from is not a token number"})
 		return
 	}
 	rec := a.find(r)
 	if rec == nil {
-		refuse(w, http.StatusNotFound, messenger.Fault{Outcome: identifier.Unknown, Step: stepFind, Detail: "no such answer is kept here"})
+		reply(w, http.StatusNotFound, messenger.Fault{Outcome: identifier.Unknown, Step: stepFind, Detail: "no such answer is kept here"})
 		return
 	}
 	a.stream(w, r, rec, from)
@@ -44,7 +44,7 @@
 func (a *Agent) handleCancel(w http.ResponseWriter, r *http.Request) {
 	rec := a.find(r)
 	if rec == nil {
-		refuse(w, http.StatusNotFound, messenger.Fault{Outcome: identifier.Unknown, Step: stepFind, Detail: "no such request is in hand here"})
+		reply(w, http.StatusNotFound, messenger.Fault{Outcome: identifier.Unknown, Step: stepFind, Detail: "no such request is in hand here"})
 		return
 	}
 	a.board.mu.Lock()
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -53,11 +53,6 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// refuse answers a call that was not taken.
-func refuse(w http.ResponseWriter, status int, f messenger.Fault) {
-	reply(w, status, f)
-}
-
 func reply(w http.ResponseWriter, status int, v any) {
 	raw, err := cbor.Marshal(v)
 	if err != nil {
--- a/agent/keys.go
+++ b/agent/keys.go
@@ -20,13 +20,13 @@
 	raw, err := io.ReadAll(io.LimitReader(r.Body, maxKeyCall))
 	var c identifier.Class
 	if err != nil || cbor.Unmarshal(raw, &c) != nil {
-		refuse(w, http.StatusBadRequest, a.notRun(stepKey, "call names no kind"))
+		reply(w, http.StatusBadRequest, a.notRun(stepKey, "call names no kind"))
 		return
 	}
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
 	if a.board.leaving() || !a.board.configured {
-		refuse(w, http.StatusServiceUnavailable, a.notRun(stepKey, "target is leaving"))
+		reply(w, http.StatusServiceUnavailable, a.notRun(stepKey, "target is leaving"))
 		return
 	}
 	n := a.board.keys.Mint()
@@ -47,18 +47,18 @@
 	n, err := strconv.ParseUint(r.PathValue("sequence"), 10, 64)
 	inc, errInc := strconv.ParseUint(r.FormValue("incarnation"), 16, 64)
 	if err != nil || errInc != nil {
-		refuse(w, http.StatusBadRequest, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "call names no key"})
+		reply(w, http.StatusBadRequest, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "call names no key"})
 		return
 	}
 	if identifier.Incarnation(inc) != a.self.Incarnation {
-		refuse(w, http.StatusGone, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "the incarnation that minted the key is gone"})
+		reply(w, http.StatusGone, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "the incarnation that minted the key is gone"})
 		return
 	}
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
 	st, err := ask(n)
 	if err != nil {
-		refuse(w, http.StatusNotFound, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: err.Error()})
+		reply(w, http.StatusNotFound, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: err.Error()})
 		return
 	}
 	k := messenger.KeyReply{Sequence: n, State: string(st), Incarnation: a.self.Incarnation, Request: a.requestOf(n)}
--- a/agent/links.go
+++ b/agent/links.go
@@ -112,7 +112,7 @@
 // beat sends each router the target's occupancy, which is a heartbeat too. The
 // caller holds the lock.
 func (a *Agent) beat() {
-	a.board.toldFull = a.board.sched.Load().Room() <= 0
+	a.board.toldFull = a.board.sched.Load().Free() <= 0
 	for _, l := range a.board.routers {
 		a.send(l, a.status())
 	}
@@ -232,8 +232,8 @@
 	return int(a.traffic.Queued.Load() - before)
 }
 
-// retell has the next peer in turn told everything again.
-func (a *Agent) retell() {
+// resync has the next peer in turn told everything again.
+func (a *Agent) resync() {
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
 	names := make([]identifier.Target, 0, len(a.board.peers))
--- a/agent/run.go
+++ b/agent/run.go
@@ -26,12 +26,12 @@
 func (a *Agent) handleRun(w http.ResponseWriter, r *http.Request) {
 	h, err := decodeHandover(r.Body)
 	if err != nil {
-		refuse(w, http.StatusBadRequest, a.notRun(stepDecode, err.Error()))
+		reply(w, http.StatusBadRequest, a.notRun(stepDecode, err.Error()))
 		return
 	}
 	rec, fault := a.take(h)
 	if fault != nil {
-		refuse(w, http.StatusConflict, *fault)
+		reply(w, http.StatusConflict, *fault)
 		return
 	}
 	a.stream(w, r, rec, len(h.Prior))
--- a/estimator/convergence.go
+++ b/estimator/convergence.go
@@ -209,7 +209,7 @@
 	clear(p.cut)
 	for n := 1; n <= cutSteps; n++ {
 		p.step(n)
-		p.retell(n)
+		p.resync(n)
 		if _, most := p.ages(); most < 2*usual {
 			return float64(n) * stepSeconds
 		}
@@ -217,9 +217,9 @@
 	return -1
 }
 
-// retell has every parent tell its children everything once after a cut, a
+// resync has every parent tell its children everything once after a cut, a
 // shard in turn, as a link that is opened anew does.
-func (p *pool) retell(n int) {
+func (p *pool) resync(n int) {
 	for sh := range p.trees {
 		if n%downEvery != sh%downEvery || n > downEvery*collectorDepth {
 			continue
--- a/measurer/baselines.go
+++ b/measurer/baselines.go
@@ -139,7 +139,7 @@
 func (s *leastLoaded) push(r *pushRouter) {
 	for _, p := range []identifier.Pool{models, registry} {
 		for {
-			t := s.roomiest(r, p)
+			t := s.mostFree(r, p)
 			if t == nil {
 				break
 			}
@@ -161,7 +161,7 @@
 	})
 }
 
-func (s *leastLoaded) roomiest(r *pushRouter, p identifier.Pool) *target {
+func (s *leastLoaded) mostFree(r *pushRouter, p identifier.Pool) *target {
 	var best *target
 	least := 0
 	for _, t := range s.w.targets {
--- a/measurer/ours.go
+++ b/measurer/ours.go
@@ -181,7 +181,7 @@
 // callForWork tells the routers when an agent that was full has room and
 // nothing to fill it with.
 func (o *ours) callForWork(a *oursAgent) {
-	if a.toldFull && a.sched.Hungry(o.w.clock.now) {
+	if a.toldFull && a.sched.WantsWork(o.w.clock.now) {
 		o.tell(a)
 	}
 }
@@ -189,7 +189,7 @@
 // tell sends an agent's load to all routers.
 func (o *ours) tell(a *oursAgent) {
 	load := a.sched.Load()
-	a.toldFull = load.Room() <= 0
+	a.toldFull = load.Free() <= 0
 	for _, r := range o.routers {
 		o.send(string(a.target.name), string(r.name), messenger.Frame{Load: &load})
 		if !o.cut(r, a) {
@@ -213,7 +213,7 @@
 
 func (o *ours) load(r *oursRouter, a *oursAgent, load scheduler.Load) {
 	o.w.clock.after(o.w.delay(r.index, a.index), func() {
-		r.queues.SetAgent(a.target.name, a.target.pool, a.index%o.w.size.DataCentres == r.index%o.w.size.DataCentres, load.Room())
+		r.queues.SetAgent(a.target.name, a.target.pool, a.index%o.w.size.DataCentres == r.index%o.w.size.DataCentres, load.Free())
 		if n, _ := r.queues.Len(); n > 0 {
 			o.flush(r)
 		}
@@ -404,62 +404,3 @@
 	delete(a.from, j.id)
 	o.apply(a, a.sched.Finish(o.w.clock.now, j.id, j.served))
 }
-
-// publishOften publishes an agent's counters as often as its budget allows.
-func (o *ours) publishOften(a *oursAgent) {
-	pacer := counter.Pacer{Budget: counter.DefaultBudget}
-	o.w.clock.after(pacer.Next(o.publish(a)), func() { o.publishOften(a) })
-}
-
-// publish sends an agent's counters to the others of its pool and returns how
-// many bytes that took.
-func (o *ours) publish(a *oursAgent) int {
-	if a.target.dead {
-		return 0
-	}
-	bytes := 0
-	for _, b := range o.agents {
-		if a == b || a.target.pool != b.target.pool {
-			continue
-		}
-		c := a.cursors[b]
-		if c == nil {
-			c = &counter.Cursor{}
-			a.cursors[b] = c
-		}
-		before := *c
-		rows := a.table.Next(c, maxRows, false)
-		if len(rows) == 0 {
-			continue
-		}
-		bytes += o.send(string(a.target.name), string(b.target.name), messenger.Frame{Counters: &messenger.Counters{Rows: rows}})
-		if o.cutAgents(a, b) || b.target.dead {
-			c.Restart() // The link is lost, and a new one starts anew.
-			continue
-		}
-		if o.lossy && o.w.rng.Float64() < lossRate {
-			*c = before
-			continue
-		}
-		o.merge(a, b, rows)
-		if o.lossy && o.w.rng.Float64() < doubleRate {
-			o.merge(a, b, rows)
-		}
-	}
-	return bytes
-}
-
-func (o *ours) merge(a, b *oursAgent, rows []counter.Row) {
-	life := b.lives
-	o.w.clock.after(o.w.delay(a.index, b.index), func() {
-		if b.lives != life {
-			return
-		}
-		for _, r := range rows {
-			b.table.Merge(o.w.clock.now, r)
-		}
-	})
-}
-
-// maxRows bounds the rows in one message.
-const maxRows = 512
--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -36,7 +36,7 @@
 	defer cancel()
 	cs := &callers{f: f, v: v, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	wg := cs.run(ctx, *soakSeed)
-	faults := f.torment(ctx, rand.New(rand.NewPCG(*soakSeed, 99)))
+	faults := f.injectFaults(ctx, rand.New(rand.NewPCG(*soakSeed, 99)))
 	f.standins.Store.SetFaults(imitator.StoreFaults{})
 	wg.Wait()
 	f.judge(v)
@@ -44,8 +44,8 @@
 		*soakSeed, *soakTime, faults, len(v.told), v.repeats, v.whole, v.unmarked, v.problems)
 }
 
-// torment brings about faults until ctx is done and returns how many of each.
-func (f *fleet) torment(ctx context.Context, rng *rand.Rand) map[string]int {
+// injectFaults brings about faults until ctx is done and returns how many of each.
+func (f *fleet) injectFaults(ctx context.Context, rng *rand.Rand) map[string]int {
 	counts := map[string]int{}
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(200+rng.IntN(600)) * time.Millisecond)
--- a/prover/spread_test.go
+++ b/prover/spread_test.go
@@ -23,8 +23,8 @@
 var checkTimes = flag.Bool("times", false, "fail if a stated limit of time is missed")
 
 const (
-	// patience is how long a test waits for what has to come about.
-	patience = 30 * time.Second
+	// waitLimit is how long a test waits for what has to come about.
+	waitLimit = 30 * time.Second
 	// inForceLimit is within what time an accepted change is in force
 	// everywhere.
 	inForceLimit = 7 * time.Second
@@ -89,7 +89,7 @@
 		if outage { // The swap was accepted; from now on only peers can tell.
 			f.standins.Store.SetFaults(imitator.StoreFaults{Outage: true})
 		}
-		d := f.inForce(float64(i+2), patience)
+		d := f.inForce(float64(i+2), waitLimit)
 		f.standins.Store.SetFaults(imitator.StoreFaults{})
 		if d < 0 || (*checkTimes && d > inForceLimit) {
 			t.Fatalf("change %d is in force after %s, the limit is %s", i, d, inForceLimit)
@@ -165,7 +165,7 @@
 	f.routers[1].kill()
 	begin := time.Now()
 	f.routers[1].start(f.bin)
-	if d := f.inForce(1, patience); d < 0 || (*checkTimes && d > inForceLimit) {
+	if d := f.inForce(1, waitLimit); d < 0 || (*checkTimes && d > inForceLimit) {
 		t.Fatalf("the router has its configuration after %s, the limit is %s", d, inForceLimit)
 	}
 	t.Logf("configuration in force %s after the start", time.Since(begin).Round(time.Millisecond))
--- a/queuer/offers.go
+++ b/queuer/offers.go
@@ -212,24 +212,24 @@
 	first := max(s.cfg.FirstFanout, 1)
 	waited := now.Sub(g.free.head().Arrived)
 	n := doubled(first, waited, s.cfg.WidenAfter, all)
-	roomy := s.roomy(g)
+	withFree := s.withFree(g)
 	usual := s.usual(g.class)
 	switch {
 	case usual >= s.cfg.LongWait:
 		late := doubled(first, waited-longerThanUsual*usual, s.cfg.WidenAfter, all)
-		n = max(min(n, roomy), late)
-	case roomy == 0:
+		n = max(min(n, withFree), late)
+	case withFree == 0:
 		n = all
 	}
 	if n < all {
-		s.sleep(g, now.Add(s.widening(waited, usual, roomy)))
+		s.sleep(g, now.Add(s.widening(waited, usual, withFree)))
 	}
 	return min(n, all)
 }
 
 // widening returns after how long the reach of a group may have grown.
-func (s *Queuer) widening(waited, usual time.Duration, roomy int) time.Duration {
-	if usual < s.cfg.LongWait || roomy > 0 {
+func (s *Queuer) widening(waited, usual time.Duration, withFree int) time.Duration {
+	if usual < s.cfg.LongWait || withFree > 0 {
 		return s.cfg.WidenAfter
 	}
 	return max(s.cfg.WidenAfter, longerThanUsual*usual-waited)
@@ -247,8 +247,8 @@
 	return n
 }
 
-// roomy returns how many of the first agents in g's rank have room.
-func (s *Queuer) roomy(g *group) int {
+// withFree returns how many of the first agents in g's rank have room.
+func (s *Queuer) withFree(g *group) int {
 	n := 0
 	for n < len(g.rank) && s.agents[g.rank[n]] != nil && s.agents[g.rank[n]].room > 0 {
 		n++
--- a/router/keys.go
+++ b/router/keys.go
@@ -183,7 +183,7 @@
 
 // mint reserves a key for class c at the agent with the most room.
 func (r *Router) mint(ctx context.Context, c identifier.Class) (signer.Key, error) {
-	at, ok := r.roomiest(c.Kind)
+	at, ok := r.mostFree(c.Kind)
 	if !ok {
 		return signer.Key{}, errors.Errorf("no agent that serves kind %q is linked", c.Kind)
 	}
@@ -202,7 +202,7 @@
 	return signer.Key{Origin: origin, Sequence: rep.Sequence, Class: c}, nil
 }
 
-func (r *Router) roomiest(k identifier.Kind) (handedTo, bool) {
+func (r *Router) mostFree(k identifier.Kind) (handedTo, bool) {
 	r.board.mu.Lock()
 	defer r.board.mu.Unlock()
 	s := r.board.adopter.Current()
@@ -215,7 +215,7 @@
 		if a.link == nil || a.leaving || a.pool != kind.Pool {
 			continue
 		}
-		if best == nil || a.load.Room() > best.load.Room() || (a.load.Room() == best.load.Room() && a.origin.Target < best.origin.Target) {
+		if best == nil || a.load.Free() > best.load.Free() || (a.load.Free() == best.load.Free() && a.origin.Target < best.origin.Target) {
 			best = a
 		}
 	}
--- a/router/links.go
+++ b/router/links.go
@@ -131,7 +131,7 @@
 		return
 	}
 	a.pool = named.Pool
-	r.board.queues.SetAgent(t, named.Pool, named.DataCentre == r.cfg.DataCentre, a.load.Room())
+	r.board.queues.SetAgent(t, named.Pool, named.DataCentre == r.cfg.DataCentre, a.load.Free())
 }
 
 // granted hands a waiting request to each grant, or declines it.
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -82,7 +82,7 @@
 }
 
 func (s *Scheduler) inLane(c *class, lane identifier.Kind) bool {
-	return (lane == commons || c.id.Kind == lane) && s.takeable(c)
+	return (lane == unreserved || c.id.Kind == lane) && s.takeable(c)
 }
 
 // before orders two classes whose workspaces are equally far behind.
--- a/scheduler/config.go
+++ b/scheduler/config.go
@@ -81,8 +81,8 @@
 	return defaultEstimate
 }
 
-// commonsShare is what no kind has reserved.
-func (c Config) commonsShare() float64 {
+// unreservedShare is what no kind has reserved.
+func (c Config) unreservedShare() float64 {
 	rest := 1.0
 	for _, k := range c.kindNames() {
 		rest -= c.Kinds[k].Share
--- a/scheduler/clock.go
+++ b/scheduler/lanes.go
@@ -2,12 +2,12 @@
 
 import "buckthorndrum/identifier"
 
-// commons is the name of the lane that serves what no kind has reserved.
+// unreserved is the name of the lane that serves what no kind has reserved.
 // It is no valid kind name, so it cannot clash with one.
-const commons identifier.Kind = ""
+const unreserved identifier.Kind = ""
 
 // lanes shares one target among kinds by start-time fair queueing. Each kind
-// with a guaranteed share has a lane, and the commons lane has the rest. A lane
+// with a guaranteed share has a lane, and the unreserved lane has the rest. A lane
 // whose kind has nothing waiting leaves its share to the others.
 type lanes struct {
 	share map[identifier.Kind]float64
@@ -30,20 +30,20 @@
 			l.share[k] = r.Share
 		}
 	}
-	if rest := cfg.commonsShare(); rest > minCommonsShare {
-		l.share[commons] = rest
+	if rest := cfg.unreservedShare(); rest > minUnreservedShare {
+		l.share[unreserved] = rest
 	}
 }
 
-// minCommonsShare is the rest below which rounding, not intent, left it over.
-const minCommonsShare = 1e-9
+// minUnreservedShare is the rest below which rounding, not intent, left it over.
+const minUnreservedShare = 1e-9
 
 // order returns the lanes that have work, the one furthest behind first.
-// waiting tells whether a kind has work; the commons has work if any kind has.
+// waiting tells whether a kind has work; the unreserved lane has some if any has.
 func (l *lanes) order(waiting map[identifier.Kind]bool) []identifier.Kind {
 	var found []identifier.Kind
 	for k := range l.share {
-		if k == commons || waiting[k] {
+		if k == unreserved || waiting[k] {
 			found = append(found, k)
 		}
 	}
@@ -54,7 +54,7 @@
 		if l.start[a] != l.start[b] {
 			return l.start[a] < l.start[b]
 		}
-		return a > b // A kind's own lane goes before the commons.
+		return a > b // A kind's own lane goes before the unreserved one.
 	})
 	return found
 }
--- a/scheduler/preempt.go
+++ b/scheduler/preempt.go
@@ -20,7 +20,7 @@
 		return
 	}
 	s.preempted = now // Looked at, whether or not there is a victim.
-	kind, found := s.deprived()
+	kind, found := s.underserved()
 	if !found {
 		return
 	}
@@ -40,9 +40,9 @@
 	}
 }
 
-// deprived returns a kind that waits and holds less than its share of slots,
+// underserved returns a kind that waits and holds less than its share of slots,
 // the one that lacks most.
-func (s *Scheduler) deprived() (identifier.Kind, bool) {
+func (s *Scheduler) underserved() (identifier.Kind, bool) {
 	held := s.held()
 	waiting := s.waitingKinds()
 	var worst identifier.Kind
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -131,11 +131,11 @@
 	Slots   int      `json:"slots"`
 }
 
-// Room returns how many more requests could be taken at once.
-func (l Load) Room() int { return l.Slots - l.Running - l.Queued - l.Granted }
+// Free returns how many more requests could be taken at once.
+func (l Load) Free() int { return l.Slots - l.Running - l.Queued - l.Granted }
 
-// Hungry tells that the target has room and nothing is offered to fill it.
-func (s *Scheduler) Hungry(now identifier.Instant) bool {
+// WantsWork tells that the target has room and nothing is offered to fill it.
+func (s *Scheduler) WantsWork(now identifier.Instant) bool {
 	return !s.draining && s.room(now) > 0 && len(s.waitingKinds()) == 0
 }
 
