--- a/prover/process_test.go
+++ b/prover/process_test.go
@@ -44,15 +44,30 @@
 	return bin
 }
 
+// Ports of the processes. They are below those that the system gives out by
+// itself, for a port must stay free while its process is being replaced.
+const (
+	firstPort = 20_000
+	ports     = 10_000
+	portStep  = 64
+)
+
+var nextPort = os.Getpid() * portStep % ports
+
 // freeAddress returns a loopback address that nothing listens on.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range ports {
+		nextPort = (nextPort + 1) % ports
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", firstPort+nextPort))
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 func (p *process) start(bin string) {
