router: cancel a waiting request through any router

Cause: a request that waits at one router could not be cancelled through another, utilisation under load was one glance at the end, and the spread of a configuration over bounded links had no figure.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -270,6 +270,15 @@
 	a.log.Info("target changed", zap.Bool("leaving", leaving))
 }
 
+// Pause stops new work for a while, or allows it again, as an operator's change
+// of the target's state would.
+func (a *Agent) Pause(on bool) {
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
+	a.board.retired = on
+	a.announceLeaving()
+}
+
 // Drain stops new work, waits until all work in hand has ended and been
 // delivered, or ctx is done, and then stops the agent.
 func (a *Agent) Drain(ctx context.Context) error {
--- a/estimator/capacity.go
+++ b/estimator/capacity.go
@@ -196,6 +196,14 @@
 	for _, s := range e.spreads {
 		p("%s", s)
 	}
+	roll, err := MeasureRollout()
+	if err != nil {
+		return err
+	}
+	p("\n## A change of configuration over the links\n")
+	p("| processes | links of a router | hops to the last | frames handled by one, mean | hops after a region is joined again |")
+	p("| ---: | ---: | ---: | ---: | ---: |")
+	p("| %d | %d | %d | %.0f | %d |", roll.Nodes, roll.Links, roll.Hops, roll.Messages, roll.Rejoin)
 	return nil
 }
 
--- a/loader/control.go
+++ b/loader/control.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,15 +17,18 @@
 	Bytes []int64
 	// PerSecond is the mean over the routers, in bytes a second.
 	PerSecond float64
-	// Running and Slots are the targets' occupancy at the end.
+	// Running and Slots are the targets' occupancy.
 	Running int
 	Slots   int
+	// Used is the mean part of the slots in use over the run, by pool.
+	Used map[string]float64
 }
 
 // status is what is read of a router's status.
 type status struct {
 	Control int64 `json:"control_bytes"`
 	Targets []struct {
+		Pool string `json:"pool"`
 		Load struct {
 			Running int `json:"running"`
 			Slots   int `json:"slots"`
@@ -83,5 +88,37 @@
 
 func (c *Control) print(p func(string, ...any)) {
 	p("control traffic %.0f bytes a second for each router, both directions", c.PerSecond)
-	p("targets at the end: %d of %d slots running", c.Running, c.Slots)
+	for _, pool := range slices.Sorted(maps.Keys(c.Used)) {
+		p("utilisation of pool %s: %.1f%% of its slots in use, mean", pool, 100*c.Used[pool])
+	}
+}
+
+// sampleEvery is how often the targets' occupancy is read.
+const sampleEvery = time.Second
+
+// occupancy reads the slots in use by pool until ctx is done, and returns their
+// mean part.
+func occupancy(ctx context.Context, cfg Config) map[string]float64 {
+	running, slots := map[string]float64{}, map[string]float64{}
+	ticks := time.NewTicker(sampleEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+		case <-ctx.Done():
+			used := map[string]float64{}
+			for pool, n := range slots {
+				used[pool] = running[pool] / n
+			}
+			return used
+		}
+		st, err := readStatus(ctx, cfg.Routers[0], cfg.OperatorToken)
+		if err != nil {
+			continue
+		}
+		for _, t := range st.Targets {
+			running[t.Pool] += float64(t.Load.Running)
+			slots[t.Pool] += float64(t.Load.Slots)
+		}
+	}
 }
--- a/loader/loader.go
+++ b/loader/loader.go
@@ -25,13 +25,17 @@
 	begin := time.Now()
 	limited, cancel := context.WithTimeout(ctx, cfg.Duration)
 	defer cancel()
+	used := make(chan map[string]float64, 1)
+	go func() { used <- occupancy(limited, cfg) }()
 	drive(limited, cfg, client, rep)
 	rep.Elapsed = time.Since(begin)
+	cancel()
 	after, err := readControl(ctx, cfg)
 	if err != nil {
 		return nil, err
 	}
 	rep.Control = after.since(before, rep.Elapsed)
+	rep.Control.Used = <-used
 	if cfg.Engine != "" {
 		rep.Overhead, err = measureOverhead(ctx, cfg, client)
 	}
--- a/router/callers.go
+++ b/router/callers.go
@@ -239,11 +239,11 @@
 		ctx.StatusCode(http.StatusNoContent)
 		return
 	}
-	if r.cancelThere(ctx.Request().Context(), w, id) {
+	if r.cancelThere(ctx.Request().Context(), w, id) || r.cancelAtOwner(ctx, id) {
 		ctx.StatusCode(http.StatusNoContent)
 		return
 	}
-	p := fault(http.StatusNotFound, "The request is not known.", "it has ended, waits at another router, or is not yours", "unknown_request")
+	p := fault(http.StatusNotFound, "The request is not known.", "it has ended, its router is not listed, or it is not yours", "unknown_request")
 	p.Outcome = identifier.Unknown
 	sendProblem(ctx, p)
 }
--- a/router/fetch.go
+++ b/router/fetch.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"net/http"
+	"net/url"
 	"sort"
+	"strings"
 	"time"
 
+	"github.com/kataras/iris/v12"
 	"github.com/pkg/errors"
 
 	"buckthorndrum/identifier"
@@ -62,6 +65,45 @@
 // cancelTimeout bounds the call that cancels a request at one agent.
 const cancelTimeout = 2 * time.Second
 
+// ownerOf returns the router that has given a request its id, which ends in the
+// router's incarnation and a number.
+func ownerOf(id identifier.Request) identifier.Router {
+	s := string(id)
+	for range 2 {
+		i := strings.LastIndex(s, "-")
+		if i < 0 {
+			return ""
+		}
+		s = s[:i]
+	}
+	return identifier.Router(s)
+}
+
+// cancelAtOwner passes a cancellation on to the router at which the request
+// waits, with the caller's own token.
+func (r *Router) cancelAtOwner(ctx iris.Context, id identifier.Request) bool {
+	owner := ownerOf(id)
+	r.board.mu.Lock()
+	address, listed := r.board.members.addresses[owner]
+	r.board.mu.Unlock()
+	if !listed || owner == r.cfg.Name {
+		return false
+	}
+	limited, cancel := context.WithTimeout(ctx.Request().Context(), cancelTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(limited, http.MethodDelete, "http://"+address+"/v1/requests/"+url.PathEscape(string(id)), nil)
+	if err != nil {
+		return false
+	}
+	req.Header.Set("Authorization", ctx.GetHeader("Authorization"))
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode == http.StatusNoContent
+}
+
 // cancelThere ends a request that an agent has in hand.
 func (r *Router) cancelThere(ctx context.Context, w identifier.Workspace, id identifier.Request) bool {
 	for _, at := range r.holders("") {
--- a/router/membership.go
+++ b/router/membership.go
@@ -29,6 +29,8 @@
 	routers int
 	// watches tells that this router watches the configuration.
 	watches bool
+	// addresses are where the listed routers take callers' calls.
+	addresses map[identifier.Router]string
 	// leaving are the targets whose instances are leaving.
 	leaving map[identifier.Target]bool
 }
@@ -39,13 +41,14 @@
 // readMembership works out what a list means for router self. A router that is
 // not on the list, or not yet, watches for itself.
 func readMembership(self identifier.Router, list []lister.Instance) membership {
-	m := membership{leaving: map[identifier.Target]bool{}}
+	m := membership{addresses: map[identifier.Router]string{}, leaving: map[identifier.Target]bool{}}
 	var names []string
 	listed := false
 	for _, i := range list {
 		switch {
 		case i.Role == lister.Router && i.State == lister.Live:
 			names = append(names, i.Name)
+			m.addresses[identifier.Router(i.Name)] = i.Address
 			listed = listed || i.Name == string(self)
 		case i.Role == lister.Agent && i.State == lister.Leaving:
 			m.leaving[identifier.Target(i.Name)] = true
--- a/router/router.go
+++ b/router/router.go
@@ -277,10 +277,13 @@
 // Done is closed when the router has stopped.
 func (r *Router) Done() <-chan struct{} { return r.done }
 
+// RequestPrefix is what the ids of this router's requests begin with.
+func (r *Router) RequestPrefix() string { return fmt.Sprintf("%s-%x-", r.cfg.Name, uint64(r.inc)) }
+
 // nextRequest returns a new request id. The caller holds the lock.
 func (r *Router) nextRequest() identifier.Request {
 	r.board.serial++
-	return identifier.Request(fmt.Sprintf("%s-%x-%d", r.cfg.Name, uint64(r.inc), r.board.serial))
+	return identifier.Request(fmt.Sprint(r.RequestPrefix(), r.board.serial))
 }
 
 func now() identifier.Instant { return identifier.InstantOf(time.Now()) }
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -4,7 +4,9 @@
 	"bufio"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -35,6 +37,14 @@
 	return send(method, url, token, body, nil)
 }
 
+// waitingAt returns how many requests wait at a router.
+func waitingAt(url string) int {
+	_, body := call(http.MethodGet, url+"/v1/status", starter.OperatorToken, "")
+	var st router.Status
+	Expect(json.Unmarshal([]byte(body), &st)).To(Succeed())
+	return st.Waiting
+}
+
 func send(method, url, token, body string, header map[string]string) (int, string) {
 	r, err := http.NewRequest(method, url, strings.NewReader(body))
 	Expect(err).NotTo(HaveOccurred())
@@ -199,6 +209,41 @@
 		}, "5s").Should(BeZero())
 	})
 
+	It("forgets a request that is abandoned half-way", func() {
+		conn, err := net.Dial("tcp", strings.TrimPrefix(urls[0], "http://"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = io.WriteString(conn, "POST /v1/requests HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+token+"\r\nContent-Length: 500\r\n\r\n{\"kind\":")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(conn.Close()).To(Succeed())
+		Consistently(func() int { return waitingAt(urls[0]) }, "300ms").Should(BeZero())
+		status, body := post(urls[0], token, `{"kind":"tag","prompt":"tokens=2"}`, nil)
+		Expect(status).To(Equal(http.StatusOK), body)
+	})
+
+	It("cancels a request that waits at the other router", func() {
+		for _, a := range f.Agents { // Nobody grants, so that the request waits.
+			a.Pause(true)
+			defer a.Pause(false)
+		}
+		done := make(chan string, 1)
+		go func() {
+			_, body := post(urls[0], token, `{"kind":"tag","prompt":"tokens=2"}`, nil)
+			done <- body
+		}()
+		Eventually(func() int { return waitingAt(urls[0]) }, "5s").Should(Equal(1))
+		var id string
+		Eventually(func() int { // The list lags.
+			for n := range 60 {
+				id = fmt.Sprintf("%s%d", f.Routers[0].RequestPrefix(), n)
+				if status, _ := call(http.MethodDelete, urls[1]+"/v1/requests/"+id, token, ""); status == http.StatusNoContent && waitingAt(urls[0]) == 0 {
+					return 0
+				}
+			}
+			return 1
+		}, "12s").Should(BeZero())
+		Expect(<-done).To(ContainSubstring(`"outcome":"not_run"`))
+	})
+
 	It("lets no unknown process join a link or hand over work", func() {
 		for _, path := range []string{"/link", "/keys", "/run", "/answers/x?from=0"} {
 			method := http.MethodPost
