counter: remove what nothing calls

Cause: reading the whole change found methods without a caller. Conclusion: forgetting idle workspaces is to be designed, not left as a stub.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -4,7 +4,6 @@
 	"context"
 	"net"
 	"net/http"
-	"sync"
 	"time"
 
 	"buckthorndrum/reporter"
@@ -56,8 +55,6 @@
 	server  *http.Server
 	address string
 	started time.Time
-	// runs counts the requests in hand.
-	runs sync.WaitGroup
 	// done is closed when the agent has stopped.
 	done   chan struct{}
 	ctx    context.Context
--- a/agent/run.go
+++ b/agent/run.go
@@ -126,7 +126,6 @@
 	ctx, abort := context.WithTimeout(a.ctx, time.Duration(h.DeadlineMS)*time.Millisecond)
 	rec.abort = abort
 	a.board.records[h.Request] = rec
-	a.runs.Add(1)
 	go a.execute(ctx, rec, kind)
 	a.apply(acts)
 	return rec, nil
@@ -142,7 +141,6 @@
 // execute runs one request at the target, over as many attempts as the
 // scheduler's preemptions make it.
 func (a *Agent) execute(ctx context.Context, rec *record, kind configurator.Kind) {
-	defer a.runs.Done()
 	defer rec.abort()
 	tgt, fixed := a.targetFor(kind)
 	began := false
--- a/counter/counter.go
+++ b/counter/counter.go
@@ -93,18 +93,6 @@
 	return s.base + s.sum
 }
 
-// Version returns the version of the latest change.
-func (t *Table) Version() Version { return t.version }
-
-// Changed returns the version at which workspace w last changed.
-func (t *Table) Changed(w identifier.Workspace) Version {
-	s := t.spaces[w]
-	if s == nil {
-		return 0
-	}
-	return s.version
-}
-
 // Charge counts c of service by this process for workspace w. An amount that is
 // not positive is ignored.
 func (t *Table) Charge(w identifier.Workspace, c identifier.Cost) {
@@ -213,17 +201,6 @@
 	return rows, next
 }
 
-// Forget drops workspace w, whose period has ended long ago.
-func (t *Table) Forget(w identifier.Workspace) { delete(t.spaces, w) }
-
-// Size returns how many workspaces and rows the table holds.
-func (t *Table) Size() (workspaces, rows int) {
-	for _, s := range t.spaces {
-		rows += len(s.rows)
-	}
-	return len(t.spaces), rows
-}
-
 func (t *Table) space(w identifier.Workspace) *space {
 	s := t.spaces[w]
 	if s == nil {
--- a/queuer/offers.go
+++ b/queuer/offers.go
@@ -48,16 +48,6 @@
 	s.rerank(a.pool)
 }
 
-// Linked tells whether any linked agent serves the pool.
-func (s *Queuer) Linked(pool identifier.Pool) bool {
-	for _, a := range s.agents {
-		if a.pool == pool {
-			return true
-		}
-	}
-	return false
-}
-
 // rerank orders the agents anew for all classes of a pool.
 func (s *Queuer) rerank(pool identifier.Pool) {
 	for c, g := range s.groups {
