linker: choose the links once for each configuration

Change: router and agent choose their links when a configuration comes into force; the shared names stand in messenger; the dead parts are gone. The cost of the choice was not measured and was not in docs/CAPACITY.md. Conclusion: a tick no longer costs by the number of targets.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -250,6 +250,7 @@
 		return
 	}
 	a.board.pool = t.Pool
+	a.board.wanted = choosePeers(s, t)
 	a.apply(a.board.sched.Configure(now(), s.SchedulerConfig(t)))
 }
 
--- a/agent/answer.go
+++ b/agent/answer.go
@@ -11,9 +11,6 @@
 	"buckthorndrum/messenger"
 )
 
-// workspaceHeader names the workspace on whose behalf a router asks.
-const workspaceHeader = "X-Buckthorndrum-Workspace"
-
 // handleAnswer streams an answer from a given token on.
 func (a *Agent) handleAnswer(w http.ResponseWriter, r *http.Request) {
 	from, err := strconv.Atoi(r.FormValue("from"))
@@ -34,7 +31,7 @@
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
 	rec := a.board.records[identifier.Request(r.PathValue("request"))]
-	if rec == nil || string(rec.handover.Class.Workspace) != r.Header.Get(workspaceHeader) {
+	if rec == nil || string(rec.handover.Class.Workspace) != r.Header.Get(messenger.WorkspaceHeader) {
 		return nil
 	}
 	return rec
@@ -61,7 +58,6 @@
 	a.read(rec, 1)
 	defer a.read(rec, -1)
 	w.Header().Set("Content-Type", "application/cbor-seq")
-	w.Header().Set(incarnationHeader, strconv.FormatUint(uint64(a.self.Incarnation), 16))
 	flusher := http.NewResponseController(w)
 	_ = flusher.Flush()
 	enc := cbor.NewEncoder(w)
@@ -85,9 +81,6 @@
 	}
 }
 
-// incarnationHeader names the incarnation that answers.
-const incarnationHeader = "X-Buckthorndrum-Incarnation"
-
 func (a *Agent) piece(rec *record, from int) (messenger.Piece, <-chan struct{}) {
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
--- a/agent/board.go
+++ b/agent/board.go
@@ -21,7 +21,10 @@
 	records map[identifier.Request]*record
 	routers map[identifier.Router]*linker.Link
 	peers   map[identifier.Target]*peer
-	pool    identifier.Pool
+	// wanted are the peers to exchange counters with, chosen once for each
+	// configuration.
+	wanted []configurator.Target
+	pool   identifier.Pool
 	// stopping tells that the agent shuts down. It is never unset.
 	stopping bool
 	// retired tells that the configuration wants the target to leave.
--- a/agent/handler.go
+++ b/agent/handler.go
@@ -67,7 +67,6 @@
 // Names of the steps at which an agent refuses or ends a request.
 const (
 	stepDecode = "decode_handover"
-	stepGrant  = "check_grant"
 	stepKey    = "check_key"
 	stepFind   = "find_answer"
 	stepQueue  = "wait_for_slot"
--- a/agent/links.go
+++ b/agent/links.go
@@ -132,27 +132,36 @@
 	}
 }
 
+// missingPeers returns the chosen peers that this agent has to dial, and notes
+// that they are being dialled. The caller holds the lock.
 func (a *Agent) missingPeers() []configurator.Target {
-	s := a.board.adopter.Current()
-	if s == nil || !a.board.configured {
+	if !a.board.configured {
 		return nil
 	}
-	self, _ := s.Target(a.cfg.Target)
+	var missing []configurator.Target
+	for _, t := range a.board.wanted {
+		if a.board.peers[t.ID] == nil && a.cfg.Target < t.ID {
+			a.board.peers[t.ID] = &peer{}
+			missing = append(missing, t)
+		}
+	}
+	return missing
+}
+
+// choosePeers chooses a subset of the other agents of the target's pool.
+func choosePeers(s *configurator.Snapshot, self configurator.Target) []configurator.Target {
 	var members []linker.Candidate
 	for _, t := range s.Document.Targets {
 		if t.Pool == self.Pool {
 			members = append(members, linker.Candidate{Name: string(t.ID), Near: t.Region == self.Region})
 		}
 	}
-	var missing []configurator.Target
+	var chosen []configurator.Target
 	for _, name := range linker.Subset(string(self.ID), members, linker.Bound) {
 		t, _ := s.Target(identifier.Target(name))
-		if a.board.peers[t.ID] == nil && self.ID < t.ID {
-			a.board.peers[t.ID] = &peer{}
-			missing = append(missing, t)
-		}
+		chosen = append(chosen, t)
 	}
-	return missing
+	return chosen
 }
 
 func (a *Agent) dialPeer(t configurator.Target) {
--- a/agent/run.go
+++ b/agent/run.go
@@ -60,7 +60,7 @@
 		}
 	}
 	if h.Grant == nil {
-		f := a.notRun(stepGrant, "the key has not run and needs a grant")
+		f := a.notRun(messenger.StepGrant, "the key has not run and needs a grant")
 		return nil, &f
 	}
 	return a.begin(h)
@@ -105,7 +105,7 @@
 func (a *Agent) begin(h messenger.Handover) (*record, *messenger.Fault) {
 	s := a.board.adopter.Current()
 	if s == nil {
-		f := a.notRun(stepGrant, "the agent has no configuration yet")
+		f := a.notRun(messenger.StepGrant, "the agent has no configuration yet")
 		return nil, &f
 	}
 	kind, _ := s.Kind(h.Class.Kind)
@@ -115,7 +115,7 @@
 		Resumable: a.resumable(),
 	})
 	if err != nil {
-		f := a.notRun(stepGrant, err.Error())
+		f := a.notRun(messenger.StepGrant, err.Error())
 		return nil, &f
 	}
 	if h.Key != nil {
--- a/messenger/answer.go
+++ b/messenger/answer.go
@@ -6,6 +6,13 @@
 	"buckthorndrum/identifier"
 )
 
+// WorkspaceHeader names the workspace on whose behalf a router asks an agent.
+const WorkspaceHeader = "X-Buckthorndrum-Workspace"
+
+// StepGrant is the step with which an agent refuses a grant. The request that
+// came with it is not run and goes back to the front of its queue.
+const StepGrant = "check_grant"
+
 // Handover is the request that a router hands to an agent under a grant, or
 // under a key alone when it is a repeat.
 type Handover struct {
--- a/router/board.go
+++ b/router/board.go
@@ -19,6 +19,8 @@
 	// calls are the requests whose callers wait here.
 	calls  map[identifier.Request]*call
 	agents map[identifier.Target]*agentLink
+	// wanted are the agents to be linked to, chosen once for each configuration.
+	wanted []configurator.Target
 	budget *retrier.Budget
 	// serial numbers the requests. It only rises.
 	serial uint64
--- a/router/fetch.go
+++ b/router/fetch.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		return false
 	}
-	req.Header.Set(workspaceHeader, string(w))
+	req.Header.Set(messenger.WorkspaceHeader, string(w))
 	resp, err := r.client.Do(req)
 	if err != nil {
 		return false
--- a/router/handover.go
+++ b/router/handover.go
@@ -102,7 +102,7 @@
 func (r *Router) refusedHandover(c *call, resp *http.Response) (*ending, bool) {
 	f := readFault(resp)
 	e := &ending{Outcome: f.Outcome, Step: f.Step, Peer: string(c.at.origin.Target), Detail: f.Detail, RetryAfter: time.Second}
-	if f.Step == faultGrant {
+	if f.Step == messenger.StepGrant {
 		// The grant came too late: the request goes back to the front.
 		e.void = true
 		e.Outcome = c.notRun()
@@ -111,9 +111,6 @@
 	return e, false
 }
 
-// faultGrant is the step with which an agent refuses a grant.
-const faultGrant = "check_grant"
-
 // maxFault bounds an agent's refusal, in bytes.
 const maxFault = 64 << 10
 
@@ -206,7 +203,7 @@
 	if err != nil {
 		return messenger.End{}, err
 	}
-	req.Header.Set(workspaceHeader, string(c.item.Class.Workspace))
+	req.Header.Set(messenger.WorkspaceHeader, string(c.item.Class.Workspace))
 	resp, err := r.client.Do(req)
 	if err != nil {
 		return messenger.End{}, errors.Wrap(err, "fetch answer")
@@ -218,9 +215,6 @@
 	return r.follow(c, resp.Body, out)
 }
 
-// workspaceHeader names the workspace on whose behalf a router asks.
-const workspaceHeader = "X-Buckthorndrum-Workspace"
-
 // concluded decides what follows when an attempt has ended.
 func (r *Router) concluded(c *call, end messenger.End, err error) (*ending, bool) {
 	switch {
--- a/router/links.go
+++ b/router/links.go
@@ -34,11 +34,16 @@
 	}
 }
 
+// wantedAgents returns the agents to be linked to. The caller holds the lock.
 func (r *Router) wantedAgents() []configurator.Target {
-	s := r.board.adopter.Current()
-	if s == nil {
+	if r.board.adopter.Current() == nil {
 		return r.seeds()
 	}
+	return r.board.wanted
+}
+
+// chooseAgents chooses a subset of each pool's agents.
+func (r *Router) chooseAgents(s *configurator.Snapshot) []configurator.Target {
 	pools := map[identifier.Pool][]linker.Candidate{}
 	for _, t := range s.Document.Targets {
 		pools[t.Pool] = append(pools[t.Pool], linker.Candidate{Name: string(t.ID), Near: t.Region == r.cfg.Region})
--- a/router/router.go
+++ b/router/router.go
@@ -216,6 +216,7 @@
 	r.board.queues.Configure(s.QueuerConfig(r.cfg.Name))
 	r.board.budget.SetRatio(s.Document.Limits.RetryRatio)
 	r.limitClaims(s)
+	r.board.wanted = r.chooseAgents(s)
 	r.metrics.revision.Set(float64(s.Revision))
 	for _, a := range r.board.agents {
 		r.send(a.link, messenger.Frame{})
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -10,7 +10,6 @@
 	"net/http"
 	"net/url"
 	"strconv"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,8 +40,6 @@
 type Client struct {
 	base string
 	http *http.Client
-	// calls counts every call, watches included.
-	calls atomic.Int64
 }
 
 // Config sets up a client.
@@ -58,9 +55,6 @@
 	return &Client{base: cfg.Address, http: &http.Client{Timeout: cfg.Timeout}}
 }
 
-// Calls returns how many calls were made.
-func (c *Client) Calls() int64 { return c.calls.Load() }
-
 // Get reads a key.
 func (c *Client) Get(ctx context.Context, key string) (Entry, error) {
 	return c.call(ctx, http.MethodGet, key, nil, nil)
@@ -88,7 +82,6 @@
 }
 
 func (c *Client) call(ctx context.Context, method, key string, q url.Values, value []byte) (Entry, error) {
-	c.calls.Add(1)
 	u := c.base + "/v1/kv/" + url.PathEscape(key)
 	if len(q) > 0 {
 		u += "?" + q.Encode()
