securer: give the server its own TLS configuration

Server shared its TLS configuration with the clients. Serving writes the protocols h2 and http/1.1 into it; a link client made after that offered h2, the server chose it, and the client spoke HTTP/1.1. A fault of the product: which of the two came first in a process decided whether its links over TLS worked. Change: the server has a clone; the link client offers http/1.1 alone. The test now lets the server answer before it makes the link clients. Conclusion: links over TLS no longer depend on the order of start.

--- a/securer/securer.go
+++ b/securer/securer.go
@@ -139,9 +139,17 @@
 	}}
 }
 
-// LinkClient returns an HTTP/1.1 client, which WebSocket needs.
+// LinkClient returns an HTTP/1.1 client, which WebSocket needs. It offers no
+// other protocol in the TLS handshake, so that the server does not choose
+// HTTP/2.
 func (s *Securer) LinkClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{TLSClientConfig: s.tls.Clone()}}
+	var p http.Protocols
+	p.SetHTTP1(true)
+	cfg := s.tls.Clone()
+	if cfg != nil {
+		cfg.NextProtos = []string{"http/1.1"}
+	}
+	return &http.Client{Transport: &http.Transport{Protocols: &p, TLSClientConfig: cfg}}
 }
 
 const (
@@ -155,11 +163,12 @@
 	readHeaderTimeout = 5 * time.Second
 )
 
-// Server returns an HTTP server for calls from other processes.
+// Server returns an HTTP server for calls from other processes. It has a TLS
+// configuration of its own, since serving writes the protocols into it.
 func (s *Securer) Server(h http.Handler) *http.Server {
 	var p http.Protocols
 	p.SetHTTP1(true)
 	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(s.tls == nil)
-	return &http.Server{Handler: h, Protocols: &p, TLSConfig: s.tls, ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: h, Protocols: &p, TLSConfig: s.tls.Clone(), ReadHeaderTimeout: readHeaderTimeout}
 }
--- a/securer/tls_test.go
+++ b/securer/tls_test.go
@@ -74,6 +74,13 @@
 	srv := mine.Server(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	go func() { _ = srv.ServeTLS(l, "", "") }()
 	defer func() { _ = srv.Close() }()
+	// The server has answered once before the other clients are made, since
+	// serving must not change what they offer in the handshake.
+	first, err := mine.Client().Get(mine.Scheme() + "://" + l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = first.Body.Close()
 	for name, tc := range map[string]struct {
 		client *http.Client
 		ok     bool
