placer: decide which model each engine has loaded

Change: a pure package. Each agent decides for its own engine from its peers' reports: a model below its floor of targets is loaded, and an engine goes over to another model when that one's waiting work is entitled to more targets by shares and weights, not by the length of its backlog. An agent leaves a model only if enough targets that outrank it serve that model, so that the highest ranked never leave. Weights are loaded in turns of the weight store's interval. Fencing numbers rise with the engine's last one and with the clock.

--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -14,6 +14,12 @@
 // Kind names a class of work, such as a contract draft or a ticket issuance.
 type Kind string
 
+// Model names the weights of a model in one version.
+type Model string
+
+// Adapter names weights that are loaded on top of a model's.
+type Adapter string
+
 // Pool names a set of targets that can stand in for one another.
 type Pool string
 
--- /dev/null
+++ b/placer/placer_test.go
@@ -0,0 +1,204 @@
+package placer_test
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"buckthorndrum/identifier"
+	"buckthorndrum/placer"
+	"buckthorndrum/seeder"
+)
+
+func TestMain(m *testing.M) { seeder.Main(m, 150) }
+
+// limit is the weight store's rate in these tests, in loads a minute.
+const limit = 12
+
+func twoModels() placer.Config {
+	return placer.Config{
+		Kinds: map[identifier.Kind]placer.Rule{
+			"draft":  {Model: "large", Adapter: "contracts", Share: 0.3},
+			"answer": {Model: "small", Share: 0.3},
+		},
+		MinTargets:     2,
+		LoadsPerMinute: limit,
+	}
+}
+
+func (w *world) sound(t interface{ Fatalf(string, ...any) }) {
+	if w.fault != "" {
+		t.Fatalf("%s", w.fault)
+	}
+	// No more orders in any stretch than the rate allows, but for the two at its
+	// ends.
+	for i := range w.ordered {
+		for j := i + 1; j < len(w.ordered); j++ {
+			d := w.ordered[j].Sub(w.ordered[i])
+			if most := d.Minutes()*limit + 2; float64(j-i+1) > most {
+				t.Fatalf("%d orders in %s, more than %.1f", j-i+1, d, most)
+			}
+		}
+	}
+}
+
+// TestColdStart checks that engines with nothing loaded come to serve all
+// models, and then stay.
+func TestColdStart(t *testing.T) {
+	w := newWorld(8, twoModels(), 1)
+	w.run(4 * time.Minute)
+	for k := range w.cfg.Kinds {
+		if n := w.servers(k); n < 2 {
+			t.Fatalf("kind %s has %d servers of the 2 that it must have", k, n)
+		}
+	}
+	if n := w.servers("draft") + w.servers("answer"); n != 8 {
+		t.Fatalf("%d of 8 targets serve", n)
+	}
+	before := w.loads()
+	w.run(time.Hour)
+	if w.loads() != before {
+		t.Fatalf("%d loads in an hour without a reason", w.loads()-before)
+	}
+	w.sound(t)
+}
+
+// TestFollowsWaiting checks that targets go over to a model whose work waits, up
+// to its workspaces' part and no further, and that the other keeps its floor.
+func TestFollowsWaiting(t *testing.T) {
+	w := newWorld(12, twoModels(), 2)
+	w.run(5 * time.Minute)
+	for _, tc := range []struct {
+		name     string
+		waiting  map[identifier.Kind]float64
+		min, max int
+	}{
+		{"one model waits", map[identifier.Kind]float64{"draft": 4}, 10, 10},
+		{"a flood of the other by one workspace", map[identifier.Kind]float64{"draft": 3, "answer": 1}, 7, 8},
+		{"both wait alike", map[identifier.Kind]float64{"draft": 4, "answer": 4}, 5, 7},
+	} {
+		w.waiting = tc.waiting
+		w.run(40 * time.Minute)
+		if n := w.servers("draft"); n < tc.min || n > tc.max {
+			t.Errorf("%s: %d of 12 targets serve the model, not %d to %d", tc.name, n, tc.min, tc.max)
+		}
+		before := w.loads()
+		w.run(time.Hour)
+		if w.loads() != before {
+			t.Errorf("%s: %d loads after the balance was reached", tc.name, w.loads()-before)
+		}
+	}
+	w.sound(t)
+}
+
+// TestNoThrash checks that demand which swings faster than weights load moves a
+// target no more often than its residence allows.
+func TestNoThrash(t *testing.T) {
+	w := newWorld(8, twoModels(), 3)
+	w.run(5 * time.Minute)
+	before := w.loads()
+	for i := range 120 {
+		w.waiting = map[identifier.Kind]float64{[]identifier.Kind{"draft", "answer"}[i%2]: 4}
+		w.run(30 * time.Second)
+	}
+	// An hour has 30 residences of two minutes, and half the targets may move.
+	if n := w.loads() - before; n > 30*4 {
+		t.Fatalf("%d loads in an hour of swinging demand", n)
+	}
+	w.sound(t)
+}
+
+// TestStaleOrder checks that an order of a process that woke up late is undone
+// or refused, and that no kind is left unserved by it.
+func TestStaleOrder(t *testing.T) {
+	w := newWorld(6, twoModels(), 4)
+	w.run(10 * time.Minute)
+	for _, n := range w.nodes {
+		if len(n.engine.orders) == 0 {
+			t.Fatalf("%s was never ordered", n.name)
+		}
+		stale := placer.Order{Model: "forgotten", Fence: n.engine.orders[0].Fence}
+		n.engine.foreign = true
+		if took := n.engine.take(w.now, stale); took == n.engine.checks {
+			t.Fatalf("engine of %s, checks %v, took the old order: %v", n.name, n.engine.checks, took)
+		}
+	}
+	w.run(10 * time.Minute)
+	for k := range w.cfg.Kinds {
+		if w.servers(k) < 2 {
+			t.Fatalf("kind %s has %d servers after the stale orders", k, w.servers(k))
+		}
+	}
+	w.sound(t)
+}
+
+// TestHistories checks under lost reports, deaths, returns and demand at random
+// that no move takes a model below its floor, and that a model whose servers
+// have died is served again.
+func TestHistories(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(rapid.IntRange(5, 9).Draw(t, "targets"), twoModels(), rapid.Uint64().Draw(t, "seed"))
+		w.lost = rapid.Float64Range(0, 0.9).Draw(t, "lost")
+		w.run(6 * time.Minute)
+		for range rapid.IntRange(1, 12).Draw(t, "events") {
+			w.disturb(t)
+			w.sound(t)
+		}
+		w.run(6 * time.Minute)
+		for k := range w.cfg.Kinds {
+			if n := w.servers(k); n < w.cfg.MinTargets {
+				t.Fatalf("kind %s has %d servers six minutes after the last event", k, n)
+			}
+		}
+		w.sound(t)
+	})
+}
+
+func (w *world) disturb(t *rapid.T) {
+	n := w.nodes[rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")]
+	died := false
+	switch rapid.SampledFrom([]string{"demand", "death", "return", "restart", "stale"}).Draw(t, "event") {
+	case "demand":
+		w.waiting = map[identifier.Kind]float64{
+			"draft":  float64(rapid.IntRange(0, 8).Draw(t, "draft")),
+			"answer": float64(rapid.IntRange(0, 8).Draw(t, "answer")),
+		}
+		w.used = rapid.Float64Range(0, 1).Draw(t, "used")
+	case "death":
+		if w.alive() > 2*w.cfg.MinTargets {
+			n.alive = false
+			died = true
+		}
+	case "return":
+		n.alive = true
+	case "restart":
+		n.placer = placer.New(w.configOf(n.name))
+		died = true // It serves nothing until its engine has reported.
+	case "stale":
+		if !n.engine.checks && len(n.engine.orders) > 0 {
+			n.engine.foreign = true
+			n.engine.take(w.now, placer.Order{Model: n.engine.orders[0].Model, Fence: 1})
+			died = true // Its model is taken from it, as by a death.
+		}
+	}
+	before := map[identifier.Kind]int{"draft": w.servers("draft"), "answer": w.servers("answer")}
+	for range 20 {
+		w.run(3 * time.Second)
+		for k, had := range before {
+			if now := w.servers(k); !died && now < min(had, w.cfg.MinTargets) {
+				t.Fatalf("kind %s went from %d to %d servers without a death", k, had, now)
+			}
+		}
+	}
+}
+
+func (w *world) alive() int {
+	n := 0
+	for _, m := range w.nodes {
+		if m.alive {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/placer/turn.go
@@ -0,0 +1,59 @@
+package placer
+
+import (
+	"time"
+
+	"buckthorndrum/identifier"
+)
+
+// The weight store's rate limit is kept without talk: time is cut into turns of
+// the limit's interval, the pool's targets own them one after the other, and an
+// order is given only in a turn of one's own, once.
+
+// interval is the length of one turn.
+func (c Config) interval() time.Duration {
+	return time.Duration(float64(time.Minute) / c.LoadsPerMinute)
+}
+
+// place returns where Self stands among the targets.
+func (c Config) place() (int64, bool) {
+	for i, t := range c.Targets {
+		if t == c.Self {
+			return int64(i), true
+		}
+	}
+	return 0, false
+}
+
+// takeTurn tells whether an order may be given now, and takes the turn.
+func (p *Placer) takeTurn(now identifier.Instant) bool {
+	place, found := p.cfg.place()
+	if !found {
+		return false
+	}
+	turn := int64(now) / int64(p.cfg.interval())
+	into := time.Duration(int64(now) % int64(p.cfg.interval()))
+	if turn%int64(len(p.cfg.Targets)) != place || turn == p.turn {
+		return false
+	}
+	if into > max(p.cfg.interval()/2, minWindow) {
+		return false // The clocks of others may have begun the next turn.
+	}
+	p.turn = turn
+	return true
+}
+
+// untilTurn returns how long it is to the target's turn, zero if that is now.
+func (p *Placer) untilTurn(now identifier.Instant) time.Duration {
+	place, found := p.cfg.place()
+	if !found {
+		return fresh // Longer than any lead, so that nothing is begun.
+	}
+	n := int64(len(p.cfg.Targets))
+	turn := int64(now) / int64(p.cfg.interval())
+	ahead := (place - turn%n + n) % n
+	if ahead == 0 {
+		return 0
+	}
+	return time.Duration((turn+ahead)*int64(p.cfg.interval()) - int64(now))
+}
