agent: serve only the kinds whose weights are loaded

Cause: the placer was not used. Change: kinds name a model and an adapter; the document is refused if its pool cannot serve all its models at once. The agent asks the placer, gives the orders, grants only kinds that the engine has reported to be ready for, and names the weights in each completion, so that an engine with others refuses it as not run. Agents tell peers and routers what is served; routers offer a kind to those that serve it, and to all while none does. The stand-in engine loads for 2 s, reports late and draws on a weight store with a rate limit. Ruled out on the way: a link did not bring the placement, since the coder left the field out on decoding; a test now checks that its frames cover every field.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -156,6 +156,8 @@
 	ticks := time.NewTicker(tick)
 	counters := time.NewTimer(counter.MinInterval)
 	house := time.NewTicker(housekeepEvery)
+	places := time.NewTicker(placeEvery)
+	defer places.Stop()
 	beats := time.NewTicker(beatEvery)
 	resync := time.NewTicker(resyncEvery)
 	defer resync.Stop()
@@ -171,6 +173,8 @@
 			counters.Reset(a.pacer.Next(a.publish()))
 		case <-resync.C:
 			a.resync()
+		case <-places.C:
+			a.place()
 		case <-house.C:
 			a.housekeep()
 		case <-beats.C:
@@ -252,6 +256,7 @@
 	a.board.pool = t.Pool
 	a.board.wanted = choosePeers(s, t)
 	a.apply(a.board.sched.Configure(now(), s.SchedulerConfig(t)))
+	a.configurePlacer(s, t)
 }
 
 // announceLeaving stops or allows grants as the board says and tells the
--- a/agent/links.go
+++ b/agent/links.go
@@ -50,7 +50,7 @@
 		a.board.sched.DropRouter(now(), name)
 	}
 	a.board.routers[name] = l
-	a.send(l, a.status())
+	a.send(l, a.introduction())
 	a.board.mu.Unlock()
 	err := l.Serve(a.ctx, func(f messenger.Frame) { a.fromRouter(name, l, f) })
 	a.board.mu.Lock()
@@ -68,6 +68,14 @@
 	return messenger.Frame{Load: &load}
 }
 
+// introduction is the first frame on a link: the occupancy, and what the engine
+// serves.
+func (a *Agent) introduction() messenger.Frame {
+	f := a.status()
+	f.Placement = a.placement()
+	return f
+}
+
 func (a *Agent) fromRouter(name identifier.Router, l *linker.Link, f messenger.Frame) {
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
@@ -116,8 +124,9 @@
 	for _, l := range a.board.routers {
 		a.send(l, a.status())
 	}
+	news := a.placementNews()
 	for _, p := range a.board.peers {
-		a.send(p.link, messenger.Frame{})
+		a.send(p.link, messenger.Frame{Placement: news})
 	}
 }
 
@@ -181,7 +190,7 @@
 		old.link.Close()
 	}
 	a.board.peers[name] = &peer{link: l}
-	a.send(l, messenger.Frame{})
+	a.send(l, messenger.Frame{Placement: a.placement()})
 	a.board.mu.Unlock()
 	err := l.Serve(a.ctx, func(f messenger.Frame) { a.fromPeer(name, l, f) })
 	a.log.Info("agent link lost", zap.String("peer", l.Peer.Name), reporter.Error(err))
@@ -201,6 +210,7 @@
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
 	a.spread(l, f)
+	a.hear(name, f)
 	p := a.board.peers[name]
 	if p == nil || p.link != l || f.Counters == nil {
 		return
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -10,6 +10,7 @@
 	grants    prometheus.Counter
 	preempted prometheus.Counter
 	tokens    prometheus.Counter
+	orders    prometheus.Counter
 	outcomes  *prometheus.CounterVec
 	revision  prometheus.Gauge
 }
@@ -20,9 +21,10 @@
 		grants:    prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_agent_grants_total", Help: "Grants issued to routers."}),
 		preempted: prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_agent_preemptions_total", Help: "Runs cancelled to be resumed later."}),
 		tokens:    prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_agent_tokens_total", Help: "Tokens received from the target."}),
+		orders:    prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_agent_weight_orders_total", Help: "Orders to the engine to load weights."}),
 		outcomes:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_agent_outcomes_total", Help: "Requests ended, by outcome."}, []string{"outcome"}),
 	}
 	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{Name: "buckthorndrum_agent_config_revision", Help: "Configuration revision in force."})
-	m.registry.MustRegister(m.revision, m.grants, m.preempted, m.tokens, m.outcomes)
+	m.registry.MustRegister(m.revision, m.grants, m.preempted, m.tokens, m.orders, m.outcomes)
 	return m
 }
--- a/agent/reports.go
+++ b/agent/reports.go
@@ -10,16 +10,18 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
 	"buckthorndrum/configurator"
 	"buckthorndrum/identifier"
+	"buckthorndrum/placer"
 	"buckthorndrum/reporter"
 )
 
 const (
 	// reportEvery is how often an engine's reports are read.
 	reportEvery = time.Second
+	// firstReport is how long it is waited for the first.
+	firstReport = 50 * time.Millisecond
 	// reportTimeout bounds one such call.
 	reportTimeout = 2 * time.Second
 	// maxReport bounds one report, in bytes.
@@ -28,8 +30,8 @@
 
 // engineLoad is what an engine reports of itself, late.
 type engineLoad struct {
-	Batch int    `json:"batch"`
-	Model string `json:"model"`
+	Batch int `json:"batch"`
+	placer.Loaded
 }
 
 // cacheEvent tells that an engine has cached or evicted a prompt prefix.
@@ -39,67 +41,52 @@
 	Evicted  bool              `json:"evicted"`
 }
 
-// modelOrder tells an engine to load a model. The fence is the configuration
-// revision, which only rises: an engine that checks it refuses an order of a
-// process that has woken up late.
-type modelOrder struct {
-	Model string              `json:"model"`
-	Fence identifier.Revision `json:"fence"`
-}
-
 // followEngine reads the engine's reports until the agent stops.
 func (a *Agent) followEngine() {
-	ticks := time.NewTicker(reportEvery)
-	defer ticks.Stop()
 	var seen uint64
+	wait := firstReport
 	for {
 		select {
-		case <-ticks.C:
+		case <-time.After(wait):
 		case <-a.ctx.Done():
 			return
 		}
-		pool, revision, ok := a.enginePool()
-		if !ok {
+		if !a.besideEngine() {
 			continue
 		}
-		if err := a.readLoad(pool, revision); err != nil {
+		if err := a.readLoad(); err != nil {
 			a.log.Debug("engine load not read", reporter.Error(err))
+			continue
 		}
+		wait = reportEvery
 		if err := a.readCacheEvents(&seen); err != nil {
 			a.log.Debug("cache events not read", reporter.Error(err))
 		}
 	}
 }
 
-// enginePool returns the target's pool if it is one of model engines.
-func (a *Agent) enginePool() (configurator.Pool, identifier.Revision, bool) {
+// besideEngine tells whether the target is a model engine.
+func (a *Agent) besideEngine() bool {
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
-	s := a.board.adopter.Current()
-	if s == nil || !a.board.configured {
-		return configurator.Pool{}, 0, false
-	}
-	p, _ := s.Pool(a.board.pool)
-	return p, s.Revision, p.Type == configurator.Engine
+	return a.board.adopter.Current() != nil && a.board.configured && a.poolType() == configurator.Engine
 }
 
-// readLoad corrects the target's slots by its reported load, and orders its
-// model if it has another one. An engine that takes orders without checking the
-// fence may be given an old one by a process that has woken up late; the next
-// report shows it, and the order is given again.
-func (a *Agent) readLoad(pool configurator.Pool, revision identifier.Revision) error {
+// readLoad corrects the target's slots by its reported load, and tells the
+// placer what the engine has loaded.
+func (a *Agent) readLoad() error {
 	var l engineLoad
 	if err := a.report(http.MethodGet, "/v1/load", nil, &l); err != nil {
 		return err
 	}
 	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
 	a.apply(a.board.sched.Reported(now(), l.Batch))
-	a.board.mu.Unlock()
-	if pool.Model == "" || l.Model == pool.Model {
-		return nil
+	if a.board.placer != nil {
+		a.board.placer.Reported(now(), l.Loaded)
+		a.decidePlacement()
 	}
-	a.log.Info("model ordered", zap.String("model", pool.Model), zap.String("loaded", l.Model))
-	return a.report(http.MethodPost, "/v1/model", modelOrder{pool.Model, revision}, nil)
+	return nil
 }
 
 // readCacheEvents corrects what the target is thought to hold. Events come late
--- a/agent/run.go
+++ b/agent/run.go
@@ -207,6 +207,7 @@
 		from:      rec.total(),
 		path:      kind.Path,
 	}
+	c.model, c.adapter = a.board.adopter.Current().WeightsOf(kind)
 	if rec.handover.Key != nil {
 		c.key = a.sign.Format(signer.Key{Origin: a.self, Sequence: rec.handover.Key.Sequence, Class: rec.handover.Class})
 	}
--- a/agent/target.go
+++ b/agent/target.go
@@ -23,6 +23,9 @@
 	body      []byte
 	maxTokens int
 	prefix    identifier.Prefix
+	// model and adapter are what a model engine needs to have loaded.
+	model   identifier.Model
+	adapter identifier.Adapter
 	// from is how many tokens of the answer exist already.
 	from int
 	// path and key are for plain services.
@@ -137,6 +140,8 @@
 	MaxTokens int                `json:"max_tokens"`
 	Prefix    identifier.Prefix  `json:"prefix,omitempty"`
 	From      int                `json:"from,omitempty"`
+	Model     identifier.Model   `json:"model,omitempty"`
+	Adapter   identifier.Adapter `json:"adapter,omitempty"`
 }
 
 // chunk is one event of a stream.
@@ -154,7 +159,7 @@
 		next++
 		emit(token)
 	}
-	raw, err := json.Marshal(completion{c.request, string(c.body), c.maxTokens, c.prefix, c.from})
+	raw, err := json.Marshal(completion{c.request, string(c.body), c.maxTokens, c.prefix, c.from, c.model, c.adapter})
 	if err != nil {
 		return 0, fmt.Errorf("%w: %w", errNotRun, err)
 	}
@@ -178,6 +183,9 @@
 		return reach(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
+	if resp.StatusCode == http.StatusConflict && method == http.MethodPost {
+		return fmt.Errorf("%w: engine has other weights loaded", errNotRun)
+	}
 	if resp.StatusCode != http.StatusOK {
 		return fmt.Errorf("engine answered with status %d", resp.StatusCode)
 	}
--- a/configurator/check.go
+++ b/configurator/check.go
@@ -42,6 +42,7 @@
 	c.checkKinds()
 	c.checkShares()
 	c.checkTargets()
+	c.checkModels()
 	c.checkWorkspaces()
 	c.checkOperators()
 	c.checkLimits()
--- a/configurator/document.go
+++ b/configurator/document.go
@@ -53,6 +53,10 @@
 	// Cost is the cost charged for one call of a plain service, and the
 	// estimate for a model request without a hint, in weighted tokens.
 	Cost identifier.Cost `json:"cost"`
+	// Model serves requests of this kind, instead of the pool's.
+	Model identifier.Model `json:"model,omitempty"`
+	// Adapter is loaded on top of the model for this kind.
+	Adapter identifier.Adapter `json:"adapter,omitempty"`
 	// MaxTokens bounds the answer of a model request, in tokens.
 	MaxTokens int `json:"max_tokens,omitempty"`
 	// MaxQueued bounds the waiting requests of one workspace at one router.
@@ -77,8 +81,17 @@
 type Pool struct {
 	ID   identifier.Pool `json:"id"`
 	Type PoolType        `json:"type"`
-	// Model is the model that the pool's engines serve.
-	Model string `json:"model,omitempty"`
+	// Model serves the kinds that name none. Without any model the engines are
+	// left with what they have loaded.
+	Model identifier.Model `json:"model,omitempty"`
+	// MinTargets is how many targets each model is to have at least; zero
+	// counts as 1.
+	MinTargets int `json:"min_targets,omitempty"`
+	// WeightLoadsPerMinute bounds how often the pool's targets together load
+	// weights; zero counts as 6.
+	WeightLoadsPerMinute float64 `json:"weight_loads_per_minute,omitempty"`
+	// MaxAdapters is how many adapters an engine holds; zero counts as 8.
+	MaxAdapters int `json:"max_adapters,omitempty"`
 	// CreditWindow bounds the credit and debt of a newly backlogged workspace,
 	// in weighted tokens.
 	CreditWindow identifier.Cost `json:"credit_window"`
--- /dev/null
+++ b/configurator/models.go
@@ -0,0 +1,170 @@
+package configurator
+
+import (
+	"fmt"
+	"sort"
+
+	"buckthorndrum/identifier"
+	"buckthorndrum/placer"
+)
+
+// Defaults of a pool's placement.
+const (
+	defaultMinTargets           = 1
+	defaultWeightLoadsPerMinute = 6
+	defaultMaxAdapters          = 8
+)
+
+// modelOf returns the model that serves kind k of pool p, empty for whatever
+// the engine has.
+func modelOf(p Pool, k Kind) identifier.Model {
+	if k.Model != "" {
+		return k.Model
+	}
+	return p.Model
+}
+
+// WeightsOf returns the model and the adapter that requests of kind k need,
+// empty for whatever the engine has.
+func (s *Snapshot) WeightsOf(k Kind) (identifier.Model, identifier.Adapter) {
+	p := s.pools[k.Pool]
+	if p.Type != Engine {
+		return "", ""
+	}
+	return modelOf(p, k), k.Adapter
+}
+
+// PlacerConfig returns the configuration of the placer beside target t. It
+// returns false if the pool's engines are left with what they have loaded.
+func (s *Snapshot) PlacerConfig(t Target) (placer.Config, bool) {
+	pool := s.pools[t.Pool]
+	cfg := placer.Config{
+		Self:           t.ID,
+		Kinds:          s.Document.rules(pool),
+		MinTargets:     max(pool.MinTargets, defaultMinTargets),
+		LoadsPerMinute: pool.WeightLoadsPerMinute,
+	}
+	if cfg.LoadsPerMinute == 0 {
+		cfg.LoadsPerMinute = defaultWeightLoadsPerMinute
+	}
+	for _, o := range s.Document.Targets {
+		if o.Pool == t.Pool && o.State != Leaving {
+			cfg.Targets = append(cfg.Targets, o.ID)
+		}
+	}
+	sort.Slice(cfg.Targets, func(i, j int) bool { return cfg.Targets[i] < cfg.Targets[j] })
+	return cfg, len(cfg.Kinds) > 0
+}
+
+// Served returns the kinds of a pool that a target with report r takes work of.
+func (s *Snapshot) Served(p identifier.Pool, r placer.Report) map[identifier.Kind]bool {
+	served := map[identifier.Kind]bool{}
+	for k, rule := range s.Document.rules(s.pools[p]) {
+		if r.Serves(rule) {
+			served[k] = true
+		}
+	}
+	return served
+}
+
+// rules returns what each kind of an engine pool needs, empty if the pool names
+// no model.
+func (d *Document) rules(p Pool) map[identifier.Kind]placer.Rule {
+	rules := map[identifier.Kind]placer.Rule{}
+	if p.Type != Engine {
+		return rules
+	}
+	for _, k := range d.Kinds {
+		if m := modelOf(p, k); k.Pool == p.ID && m != "" {
+			rules[k.ID] = placer.Rule{Model: m, Adapter: k.Adapter, Share: k.Share}
+		}
+	}
+	return rules
+}
+
+func (c *checker) checkModels() {
+	for i, p := range c.doc.Pools {
+		path := fmt.Sprintf("pools[%d]", i)
+		c.modelName(path+".model", "model", string(p.Model))
+		if p.MinTargets < 0 {
+			c.add(path+".min_targets", "bound %d is negative", p.MinTargets)
+		}
+		if p.WeightLoadsPerMinute < 0 {
+			c.add(path+".weight_loads_per_minute", "rate %v is negative", p.WeightLoadsPerMinute)
+		}
+		if p.MaxAdapters < 0 {
+			c.add(path+".max_adapters", "bound %d is negative", p.MaxAdapters)
+		}
+		c.checkPlacement(path, p)
+	}
+	for i, k := range c.doc.Kinds {
+		path := fmt.Sprintf("kinds[%d]", i)
+		c.modelName(path+".model", "model", string(k.Model))
+		c.modelName(path+".adapter", "adapter", string(k.Adapter))
+		c.checkKindModel(path, k)
+	}
+}
+
+func (c *checker) modelName(path, what, name string) {
+	if name == "" {
+		return
+	}
+	if err := identifier.CheckName(what, name); err != nil {
+		c.add(path, "%v", err)
+	}
+}
+
+func (c *checker) checkKindModel(path string, k Kind) {
+	p := c.pools[k.Pool]
+	m := modelOf(p, k)
+	if p.Type == Service && (k.Model != "" || k.Adapter != "") {
+		c.add(path+".model", "kind %q of pool %q of services needs no model", k.ID, p.ID)
+	}
+	if k.Adapter != "" && m == "" {
+		c.add(path+".adapter", "adapter %q has no model to go on", k.Adapter)
+	}
+	if p.Type == Engine && m == "" && len(c.doc.rules(p)) > 0 {
+		c.add(path+".model", "kind %q names no model, and others of pool %q do", k.ID, p.ID)
+	}
+	if len(c.models(p)) > 1 && !k.Repeatable {
+		c.add(path+".repeatable", "kind %q needs keys, which are bound to a target, and the targets of pool %q change their models", k.ID, p.ID)
+	}
+}
+
+// models returns a pool's models with their adapters.
+func (c *checker) models(p Pool) map[identifier.Model]map[identifier.Adapter]bool {
+	found := map[identifier.Model]map[identifier.Adapter]bool{}
+	for _, r := range c.doc.rules(p) {
+		if found[r.Model] == nil {
+			found[r.Model] = map[identifier.Adapter]bool{}
+		}
+		if r.Adapter != "" {
+			found[r.Model][r.Adapter] = true
+		}
+	}
+	return found
+}
+
+// checkPlacement checks that a pool can serve all its models at once.
+func (c *checker) checkPlacement(path string, p Pool) {
+	models := c.models(p)
+	most := p.MaxAdapters
+	if most == 0 {
+		most = defaultMaxAdapters
+	}
+	for m, as := range models {
+		if len(as) > most {
+			c.add(path+".max_adapters", "model %q has %d adapters, more than the %d that an engine holds", m, len(as), most)
+		}
+	}
+	targets := 0
+	for _, t := range c.doc.Targets {
+		if t.Pool == p.ID && t.State != Leaving {
+			targets++
+		}
+	}
+	least := len(models) * max(p.MinTargets, defaultMinTargets)
+	if len(models) > 1 && targets < least {
+		c.add(path+".min_targets", "%d active targets are too few for %d models on at least %d targets each", targets, len(models), max(p.MinTargets, defaultMinTargets))
+	}
+}
--- a/imitator/engine.go
+++ b/imitator/engine.go
@@ -29,6 +29,10 @@
 	EventGap int
 	// ChecksFencing tells that an order with an old number is refused.
 	ChecksFencing bool
+	// LoadTime is how long the weights of a model take to load.
+	LoadTime time.Duration
+	// Weights is where they come from, nil for a source without a limit.
+	Weights *Weights
 }
 
 // Engine stands in for a model engine: it batches continuously, caches prompt
@@ -45,10 +49,8 @@
 	cache    prefixCache
 	loads    []loadSample
 	// last is when a stream was asked for last.
-	last   time.Time
-	model  string
-	fence  uint64
-	orders int
+	last    time.Time
+	weights weights
 }
 
 // stream is one generation.
@@ -68,8 +70,8 @@
 }
 
 type loadSample struct {
-	at    time.Time
-	batch int
+	at   time.Time
+	load EngineLoad
 }
 
 // NewEngine returns a stand-in engine.
@@ -79,7 +81,7 @@
 		stepped: make(chan struct{}),
 		streams: map[string]*stream{},
 		cache:   prefixCache{limit: cfg.CachedPrefixes, gap: cfg.EventGap},
-		model:   cfg.Model,
+		weights: weights{model: cfg.Model},
 	}
 }
 
@@ -104,6 +106,10 @@
 	Prefix uint32 `json:"prefix,omitempty"`
 	// From is how many tokens of the answer exist already.
 	From int `json:"from,omitempty"`
+	// Model and Adapter are what the completion needs, empty for whatever is
+	// loaded.
+	Model   string `json:"model,omitempty"`
+	Adapter string `json:"adapter,omitempty"`
 }
 
 // Chunk is one event of a stream.
@@ -119,6 +125,11 @@
 		return
 	}
 	e.mu.Lock()
+	if !e.weights.serve(c, time.Now()) {
+		e.mu.Unlock()
+		http.Error(w, fmt.Sprintf("model %q with adapter %q is not loaded", c.Model, c.Adapter), http.StatusConflict)
+		return
+	}
 	s := e.streams[c.ID]
 	if s == nil {
 		s = &stream{seed: xxhash.Sum64String(c.Prompt), made: c.From}
@@ -263,7 +274,13 @@
 			e.batch++
 		}
 	}
-	e.loads = append(e.loads, loadSample{time.Now(), e.batch})
+	e.sample()
+}
+
+// sample keeps the present load, to be reported later. The caller holds mu.
+func (e *Engine) sample() {
+	now := time.Now()
+	e.loads = append(e.loads, loadSample{now, e.weights.report(e.batch, now)})
 	if len(e.loads) > maxLoadSamples {
 		e.loads = e.loads[len(e.loads)-maxLoadSamples/2:]
 	}
--- a/imitator/engine_reports.go
+++ b/imitator/engine_reports.go
@@ -1,7 +1,6 @@
 package imitator
 
 import (
-	"encoding/json"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,56 +8,30 @@
 
 // EngineLoad is what an engine reports of itself, late.
 type EngineLoad struct {
-	Batch int    `json:"batch"`
-	Model string `json:"model"`
+	Batch    int      `json:"batch"`
+	Model    string   `json:"model"`
+	Adapters []string `json:"adapters"`
+	// Loading tells that the weights are not ready yet.
+	Loading bool `json:"loading"`
+	// Fence is the number of the last order taken.
+	Fence uint64 `json:"fence"`
 }
 
 func (e *Engine) load(w http.ResponseWriter, _ *http.Request) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	l := EngineLoad{Model: e.model}
+	e.sample()
+	l := e.loads[0].load
 	limit := time.Now().Add(-e.cfg.LoadLag)
 	for _, s := range e.loads {
 		if s.at.After(limit) {
 			break
 		}
-		l.Batch = s.batch
+		l = s.load
 	}
 	writeJSON(w, http.StatusOK, l)
 }
 
-// ModelOrder tells an engine to load a model.
-type ModelOrder struct {
-	Model string `json:"model"`
-	// Fence orders the orders; an engine that checks refuses lower ones.
-	Fence uint64 `json:"fence"`
-}
-
-func (e *Engine) order(w http.ResponseWriter, r *http.Request) {
-	var o ModelOrder
-	if err := json.NewDecoder(r.Body).Decode(&o); err != nil || o.Model == "" {
-		http.Error(w, "malformed order", http.StatusBadRequest)
-		return
-	}
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.cfg.ChecksFencing && o.Fence < e.fence {
-		http.Error(w, "old fencing number", http.StatusConflict)
-		return
-	}
-	e.fence = max(e.fence, o.Fence)
-	e.model = o.Model
-	e.orders++
-	writeJSON(w, http.StatusOK, o)
-}
-
-// Model returns the model that was ordered last, or the one loaded at the start.
-func (e *Engine) Model() string {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.model
-}
-
 // CacheEvent tells that a prompt prefix was cached or evicted.
 type CacheEvent struct {
 	Sequence uint64 `json:"sequence"`
--- a/messenger/coder.go
+++ b/messenger/coder.go
@@ -10,6 +10,7 @@
 
 	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
+	"buckthorndrum/placer"
 	"buckthorndrum/scheduler"
 )
 
@@ -61,6 +62,7 @@
 	Grants     []wireGrant            `cbor:"4,keyasint,omitempty"`
 	Declines   []uint64               `cbor:"5,keyasint,omitempty"`
 	Load       *scheduler.Load        `cbor:"6,keyasint,omitempty"`
+	Placement  *placer.Report         `cbor:"17,keyasint,omitempty"`
 	Rows       []wireRow              `cbor:"7,keyasint,omitempty"`
 	Relay      bool                   `cbor:"8,keyasint,omitempty"`
 	Counters   bool                   `cbor:"9,keyasint,omitempty"`
@@ -106,7 +108,7 @@
 // Encode renders a frame for the other side of the link.
 func (c *Coder) Encode(f Frame) ([]byte, error) {
 	w := wireFrame{
-		Hello: f.Hello, Declines: f.Declines, Load: f.Load,
+		Hello: f.Hello, Declines: f.Declines, Load: f.Load, Placement: f.Placement,
 		Want: f.Want, Config: f.Config, Leaving: f.Leaving,
 	}
 	if f.Revision != c.told {
@@ -219,7 +221,7 @@
 		c.heard = w.Revision
 	}
 	f := Frame{
-		Revision: c.heard, Hello: w.Hello, Declines: w.Declines, Load: w.Load,
+		Revision: c.heard, Hello: w.Hello, Declines: w.Declines, Load: w.Load, Placement: w.Placement,
 		Want: w.Want, Config: w.Config, Leaving: w.Leaving,
 	}
 	if w.Hello != nil {
@@ -227,6 +229,11 @@
 			return Frame{}, err
 		}
 	}
+	if w.Placement != nil {
+		if err := w.Placement.Check(); err != nil {
+			return Frame{}, err
+		}
+	}
 	if err := c.offers(w, &f); err != nil {
 		return Frame{}, err
 	}
--- a/messenger/coder_test.go
+++ b/messenger/coder_test.go
@@ -10,6 +10,7 @@
 	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
 	"buckthorndrum/messenger"
+	"buckthorndrum/placer"
 	"buckthorndrum/scheduler"
 )
 
@@ -24,6 +25,28 @@
 		{Revision: 5, Grants: []messenger.Grant{{Number: 9, Class: d}, {Number: 10, Class: c}}, Load: &scheduler.Load{Running: 1, Slots: 2}},
 		{Revision: 5, Counters: &messenger.Counters{Rows: []counter.Row{{Workspace: "tanta", Period: 2, Base: 3}, {Workspace: "tanta", Period: 2, Origin: o, Value: 8, Refund: 1}}, Relay: true, Caught: true}},
 		{Revision: 5, Leaving: true, Want: &messenger.Want{Head: true}},
+		{Revision: 5, Config: &messenger.Config{Head: []byte("head")}},
+		{Revision: 5, Placement: &placer.Report{
+			Model: "drafter", Adapters: []identifier.Adapter{"contracts"}, Next: "assistant", Used: 3,
+			Waiting: []placer.Waiting{{Kind: "draft", Weight: 1.5}},
+		}},
+	}
+}
+
+// TestFramesCoverFrame checks that the frames of these tests have every field of
+// a frame, so that none is left out of the coder unseen.
+func TestFramesCoverFrame(t *testing.T) {
+	set := map[string]bool{}
+	for _, f := range frames() {
+		v := reflect.ValueOf(f)
+		for i := range v.NumField() {
+			if !v.Field(i).IsZero() {
+				set[v.Type().Field(i).Name] = true
+			}
+		}
+	}
+	if n := reflect.TypeFor[messenger.Frame]().NumField(); len(set) != n {
+		t.Fatalf("the frames have %d of %d fields: %v", len(set), n, set)
 	}
 }
 
--- a/messenger/frame.go
+++ b/messenger/frame.go
@@ -6,6 +6,7 @@
 	"buckthorndrum/configurator"
 	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
+	"buckthorndrum/placer"
 	"buckthorndrum/scheduler"
 )
 
@@ -33,6 +34,8 @@
 	Declines []uint64
 	// Load goes from an agent to a router.
 	Load *scheduler.Load
+	// Placement is what the sending agent's engine serves.
+	Placement *placer.Report
 	// Counters go between agents.
 	Counters *Counters
 	// Want asks for configuration.
--- a/queuer/offers.go
+++ b/queuer/offers.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"maps"
 	"sort"
 	"time"
 
@@ -17,6 +18,23 @@
 	// near tells that the agent is in the router's data centre.
 	near bool
 	room int
+	// served are the kinds that the target takes work of, nil for all.
+	served map[identifier.Kind]bool
+}
+
+// serves tells whether the target takes work of kind k.
+func (a *agentView) serves(k identifier.Kind) bool { return a.served == nil || a.served[k] }
+
+// SetServed notes of which kinds target t takes work, nil for all. An agent
+// that takes no work of a kind is told of it only while no other agent does, so
+// that it learns what waits.
+func (s *Queuer) SetServed(t identifier.Target, kinds map[identifier.Kind]bool) {
+	a := s.agents[t]
+	if a == nil || maps.Equal(a.served, kinds) && (a.served == nil) == (kinds == nil) {
+		return
+	}
+	a.served = kinds
+	s.rerank(a.pool)
 }
 
 // SetAgent notes that target t of a pool is linked and has room for more.
@@ -55,21 +73,20 @@
 			continue
 		}
 		if len(g.free.items) > 0 {
-			g.rank = s.rankFor(pool, g.free.head())
+			g.rank = s.rankFor(g, g.free.head())
 		}
 		s.dirty[c] = true
 	}
 }
 
-// rankFor orders the agents of a pool for a queue with this head: those with
-// room first, then those in the same data centre, then by a hash that keeps a
-// prefix with one agent and spreads everything else.
-func (s *Queuer) rankFor(pool identifier.Pool, head *Item) []identifier.Target {
-	var found []ranked
-	for t, a := range s.agents {
-		if a.pool == pool {
-			found = append(found, ranked{t, a.room <= 0, !a.near, s.spread(head, t)})
-		}
+// rankFor orders the agents of a group's pool for a queue with this head: those
+// with room first, then those in the same data centre, then by a hash that keeps
+// a prefix with one agent and spreads everything else. Agents that do not take
+// work of the group's kind are left out, unless none does.
+func (s *Queuer) rankFor(g *group, head *Item) []identifier.Target {
+	found := s.candidates(g, head, true)
+	if len(found) == 0 {
+		found = s.candidates(g, head, false)
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].before(found[j]) })
 	targets := make([]identifier.Target, len(found))
@@ -79,6 +96,21 @@
 	return targets
 }
 
+// candidates returns the agents of a group's pool, or those of them that take
+// work of its kind.
+func (s *Queuer) candidates(g *group, head *Item, serving bool) []ranked {
+	var found []ranked
+	for t, a := range s.agents {
+		if a.pool == g.pool && (!serving || a.serves(g.class.Kind)) {
+			found = append(found, ranked{t, !a.takes(g.class.Kind), !a.near, s.spread(head, t)})
+		}
+	}
+	return found
+}
+
+// takes tells whether the target has room for work of kind k.
+func (a *agentView) takes(k identifier.Kind) bool { return a.room > 0 && a.serves(k) }
+
 // ranked is one agent in the order in which it is offered a queue.
 type ranked struct {
 	target identifier.Target
@@ -240,7 +272,7 @@
 // withFree returns how many of the first agents in g's rank have room.
 func (s *Queuer) withFree(g *group) int {
 	n := 0
-	for n < len(g.rank) && s.agents[g.rank[n]] != nil && s.agents[g.rank[n]].room > 0 {
+	for n < len(g.rank) && s.agents[g.rank[n]] != nil && s.agents[g.rank[n]].takes(g.class.Kind) {
 		n++
 	}
 	return n
--- a/queuer/queuer.go
+++ b/queuer/queuer.go
@@ -284,7 +284,7 @@
 	g := s.group(it.Class)
 	q := g.queue(it.Bound)
 	if it.Bound == "" && len(q.items) == 0 {
-		g.rank = s.rankFor(g.pool, it)
+		g.rank = s.rankFor(g, it)
 	}
 	if front {
 		q.pushFront(it)
--- a/router/admin.go
+++ b/router/admin.go
@@ -13,6 +13,7 @@
 
 	"buckthorndrum/configurator"
 	"buckthorndrum/identifier"
+	"buckthorndrum/placer"
 	"buckthorndrum/queuer"
 	"buckthorndrum/scheduler"
 	"buckthorndrum/signer"
@@ -165,6 +166,8 @@
 	Linked  bool              `json:"linked"`
 	Leaving bool              `json:"leaving"`
 	Load    scheduler.Load    `json:"load"`
+	// Placement is what the engine serves, absent if that is left to it.
+	Placement *placer.Report `json:"placement,omitempty"`
 }
 
 func (r *Router) handleStatus(ctx iris.Context, _ string) { sendJSON(ctx, http.StatusOK, r.status()) }
@@ -199,6 +202,7 @@
 			v.Linked = a.link != nil
 			v.Leaving = v.Leaving || a.leaving
 			v.Load = a.load
+			v.Placement = a.placement
 		}
 		ts = append(ts, v)
 	}
--- a/router/board.go
+++ b/router/board.go
@@ -6,6 +6,7 @@
 	"buckthorndrum/configurator"
 	"buckthorndrum/identifier"
 	"buckthorndrum/linker"
+	"buckthorndrum/placer"
 	"buckthorndrum/queuer"
 	"buckthorndrum/retrier"
 	"buckthorndrum/scheduler"
@@ -40,6 +41,8 @@
 	pool    identifier.Pool
 	load    scheduler.Load
 	leaving bool
+	// placement is what the engine serves, nil if that is left to the engine.
+	placement *placer.Report
 }
 
 func newBoard(cfg queuer.Config) *board {
--- a/router/links.go
+++ b/router/links.go
@@ -117,6 +117,9 @@
 	if f.Load != nil {
 		a.load = *f.Load
 	}
+	if f.Placement != nil {
+		a.placement = f.Placement
+	}
 	r.place(t, a)
 	r.granted(t, a, f.Grants)
 }
@@ -137,6 +140,11 @@
 	}
 	a.pool = named.Pool
 	r.board.queues.SetAgent(t, named.Pool, named.DataCentre == r.cfg.DataCentre, a.load.Free())
+	if a.placement != nil {
+		r.board.queues.SetServed(t, s.Served(named.Pool, *a.placement))
+	} else {
+		r.board.queues.SetServed(t, nil)
+	}
 }
 
 // granted hands a waiting request to each grant, or declines it.
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -35,9 +35,10 @@
 }
 
 // takeable tells whether class c has work that may be taken now. A draining
-// target only resumes what it has preempted itself.
+// target, or one that no longer serves the kind, only resumes what it has
+// preempted itself.
 func (s *Scheduler) takeable(c *class) bool {
-	if s.draining {
+	if s.draining || !s.serves(c.id.Kind) {
 		return len(c.parked) > 0
 	}
 	return c.open()
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -56,6 +56,8 @@
 	pace       pace
 	prefixes   *prefixes
 	draining   bool
+	// served are the kinds that the target takes work of, nil for all.
+	served map[identifier.Kind]bool
 	// preempted is when a preemption was last looked for.
 	preempted identifier.Instant
 	// established is when levels were last looked at, and floor what the lowest
--- a/starter/fleet.go
+++ b/starter/fleet.go
@@ -14,6 +14,7 @@
 	"buckthorndrum/agent"
 	"buckthorndrum/configurator"
 	"buckthorndrum/identifier"
+	"buckthorndrum/imitator"
 	"buckthorndrum/lister"
 	"buckthorndrum/router"
 	"buckthorndrum/securer"
@@ -34,6 +35,11 @@
 	Port int
 	Log  *zap.Logger
 	Seed uint64
+	// Models and Weights are those of the stand-in engines.
+	Models  []string
+	Weights *imitator.Weights
+	// Edit changes the first configuration, nil for no change.
+	Edit func(*configurator.Document)
 }
 
 // Fleet is a running local fleet.
@@ -50,7 +56,7 @@
 
 // Start starts stand-ins, agents and routers, and puts the first configuration.
 func Start(ctx context.Context, cfg Config) (*Fleet, error) {
-	sts, err := StartStandins(StandinConfig{Engines: cfg.Engines, Services: cfg.Services, Seed: cfg.Seed})
+	sts, err := StartStandins(StandinConfig{Engines: cfg.Engines, Services: cfg.Services, Seed: cfg.Seed, Models: cfg.Models, Weights: cfg.Weights})
 	if err != nil {
 		return nil, err
 	}
@@ -81,6 +87,9 @@
 		}
 	}
 	f.Document = Document(engines, services)
+	if cfg.Edit != nil {
+		cfg.Edit(&f.Document)
+	}
 	if err := PutFirst(ctx, "http://"+f.Routers[0].Address(), f.Document); err != nil {
 		return err
 	}
--- a/starter/standins.go
+++ b/starter/standins.go
@@ -29,6 +29,11 @@
 	// Port is the first port used; zero lets the system choose each.
 	Port int
 	Seed uint64
+	// Models are loaded at the start, one engine after the other; none stands
+	// for the model of the local fleet.
+	Models []string
+	// Weights is where models come from, nil for a source without a limit.
+	Weights *imitator.Weights
 }
 
 // Figures of the stand-ins.
@@ -39,6 +44,7 @@
 	enginePrefixes   = 32
 	engineLoadLag    = 500 * time.Millisecond
 	engineEventGap   = 7
+	engineLoadTime   = 2 * time.Second
 	serviceLatency   = 3 * time.Millisecond
 	storeWriteRate   = 400
 	storeReadRate    = 2000
@@ -62,7 +68,7 @@
 		return nil, err
 	}
 	for i := range cfg.Engines {
-		e := imitator.NewEngine(engineConfig(i))
+		e := imitator.NewEngine(engineConfig(cfg, i))
 		url, err := s.serve(&port, e)
 		if err != nil {
 			return nil, err
@@ -82,8 +88,15 @@
 	return s, nil
 }
 
-func engineConfig(i int) imitator.EngineConfig {
+func engineConfig(cfg StandinConfig, i int) imitator.EngineConfig {
+	models := cfg.Models
+	if len(models) == 0 {
+		models = []string{model}
+	}
 	return imitator.EngineConfig{
+		Model:              models[i%len(models)],
+		LoadTime:           engineLoadTime,
+		Weights:            cfg.Weights,
 		BaseStep:           engineStep,
 		StepPerStream:      enginePerStream,
 		PrefillPerKilobyte: enginePrefill,
