placer: say when the others are told, and measure placement

Change: the placer says what to announce at once (model, readiness) and what can wait (use, waiting work: every 10 s). Two models in virtual time, demand that moves in the middle of 20 minutes; slopes of the decision.

--- a/agent/board.go
+++ b/agent/board.go
@@ -28,11 +28,6 @@
 	pool   identifier.Pool
 	// placer is nil if the engine is left with what it has loaded.
 	placer *placer.Placer
-	// placed is what the others were last told of the engine.
-	placed placer.Report
-	// latest is the newest report, which differs from placed at most in use and
-	// in what waits.
-	latest placer.Report
 	// stopping tells that the agent shuts down. It is never unset.
 	stopping bool
 	// retired tells that the configuration wants the target to leave.
--- a/agent/placing.go
+++ b/agent/placing.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/http"
-	"reflect"
 	"time"
 
 	"go.uber.org/zap"
@@ -57,10 +56,9 @@
 		Waiting: sched.Waiting(now(), waitingAge),
 	})
 	a.apply(sched.SetServed(now(), d.Served))
-	if !sameWeights(d.Report, a.board.placed) {
-		a.announcePlacement(d.Report)
+	if d.Announce != nil {
+		a.announcePlacement(d.Announce)
 	}
-	a.board.latest = d.Report
 	if d.Order != nil {
 		a.metrics.orders.Inc()
 		a.log.Info("weights ordered", zap.String("model", string(d.Order.Model)), zap.Uint64("fence", d.Order.Fence))
@@ -68,15 +66,14 @@
 	}
 }
 
-// announcePlacement tells everybody at once what the engine serves. The caller
-// holds the lock.
-func (a *Agent) announcePlacement(r placer.Report) {
-	a.board.placed = r
+// announcePlacement tells everybody what the engine serves. The caller holds the
+// lock.
+func (a *Agent) announcePlacement(r *placer.Report) {
 	for _, l := range a.board.routers {
-		a.send(l, messenger.Frame{Placement: a.placement()})
+		a.send(l, messenger.Frame{Placement: r})
 	}
 	for _, p := range a.board.peers {
-		a.send(p.link, messenger.Frame{Placement: a.placement()})
+		a.send(p.link, messenger.Frame{Placement: r})
 	}
 }
 
@@ -86,24 +83,17 @@
 	if a.board.placer == nil {
 		return nil
 	}
-	r := a.board.placed
+	r := a.board.placer.Told()
 	return &r
 }
 
 // placementNews returns what other agents have to be told of the engine at a
 // heartbeat, nil if nothing has changed. The caller holds the lock.
 func (a *Agent) placementNews() *placer.Report {
-	if a.board.placer == nil || reflect.DeepEqual(a.board.placed, a.board.latest) {
+	if a.board.placer == nil {
 		return nil
 	}
-	a.board.placed = a.board.latest
-	return a.placement()
-}
-
-// sameWeights tells whether two reports differ at most in use and in what waits.
-func sameWeights(a, b placer.Report) bool {
-	a.Used, a.Waiting = b.Used, b.Waiting
-	return reflect.DeepEqual(a, b)
+	return a.board.placer.News(now())
 }
 
 // hear takes in what another agent says of its engine. The caller holds the
--- a/cmd/buckthorndrum/load.go
+++ b/cmd/buckthorndrum/load.go
@@ -70,6 +70,8 @@
 	others := []measurer.Way{measurer.Strict, measurer.Deadline}
 	rs = append(rs, measurer.RunAll(measurer.Sizes(), measurer.Floods(), others, seed, runtime.NumCPU())...)
 	measurer.Write(out, rs, seed)
+	placements := []measurer.Way{measurer.Ours, measurer.Halves, measurer.Placed}
+	measurer.WritePlacements(out, measurer.RunAll(measurer.SwingSizes(), []measurer.Scenario{measurer.Swing()}, placements, seed, runtime.NumCPU()))
 }
 
 func profileNames() []string {
--- a/estimator/capacity.go
+++ b/estimator/capacity.go
@@ -111,6 +111,17 @@
 	return e.at("configuration change bytes", allWorkspaces) * changesPerDay / secondsPerDay
 }
 
+// placementCPU is what an agent spends on the placement of models, with all
+// classes waiting.
+func (e estimate) placementCPU() float64 {
+	decision := e.at("placement decision", linker.Bound) + e.at("waiting work", backlogged)
+	return placerTicks*decision*micro + 2*linker.Bound*newsPerSecond*e.frame()
+}
+
+func (e estimate) placementBytes() float64 {
+	return 2 * linker.Bound * newsPerSecond * e.at("placement frame", models)
+}
+
 func (e estimate) rows() []Row {
 	return append(e.routerRows(), e.agentRows()...)
 }
@@ -137,10 +148,10 @@
 	treeFrames := 2.0 * trees * (batchesPerSecond + totalsPerSecond)
 	offers := float64(requestsPerSec) * e.req.RouterFrames / servers
 	cpu := perSec*e.at("agent grant cycle", backlogged)*micro + agentTicks*e.at("agent tick", backlogged)*micro +
-		(offers+beats+treeFrames)*e.frame() + backlogged*totalsPerSecond*e.at("counter row merge", backlogged)*micro + e.configCPU()
+		(offers+beats+treeFrames)*e.frame() + backlogged*totalsPerSecond*e.at("counter row merge", backlogged)*micro + e.configCPU() + e.placementCPU()
 	memory := e.at("agent backlog memory", backlogged) + e.at("collector memory", backlogged) + e.agentLinks()*e.linkMemory() +
-		e.at("configuration memory", allWorkspaces) + e.at("key memory", keysPerAgent)
-	bytes := float64(requestsPerSec)*e.req.RouterBytes/servers + beats*beatBytes + spread.Mean + e.configBytes()
+		e.at("configuration memory", allWorkspaces) + e.at("key memory", keysPerAgent) + e.at("placement memory", linker.Bound)
+	bytes := float64(requestsPerSec)*e.req.RouterBytes/servers + beats*beatBytes + spread.Mean + e.configBytes() + e.placementBytes()
 	most := bytes - spread.Mean + spread.Most
 	return []Row{
 		row("agent", "processor", cpu/budgetCPU, pct(budgetCPU), pct(cpu), fmt.Sprintf("%.2f µs a grant and class, %.0f µs a frame", e.s["agent grant cycle"].Slope, e.frame()/micro), "levels of what is active only; sharded trees"),
--- a/measurer/measurer.go
+++ b/measurer/measurer.go
@@ -51,6 +51,8 @@
 	Declines      int
 	HeldBytes     int
 	Took          time.Duration
+	// Placement is for ways in which engines do not serve everything.
+	Placement PlacementResult
 }
 
 // KindResult is what the callers of one kind saw.
@@ -69,9 +71,13 @@
 	begin := time.Now()
 	w := newWorld(size, sc, seed)
 	w.sys = newSystem(w, way)
+	placed := placing(w.sys, way)
 	w.begin()
 	w.clock.runUntil(identifier.Instant(sc.Length))
 	res := w.gauges.result()
+	if placed != nil {
+		res.Placement = placed.result()
+	}
 	res.Size, res.Scenario, res.Way = size.Name, sc, way
 	res.Took = time.Since(begin)
 	return res
@@ -97,6 +103,16 @@
 	return newOurs(w, creditWindow)
 }
 
+// placing sets up how the engines of a run get their models, nil if each serves
+// everything.
+func placing(s system, way Way) *placements {
+	o, ok := s.(*ours)
+	if !ok || (way != Halves && way != Placed) {
+		return nil
+	}
+	return o.place(way)
+}
+
 func (g *gauges) result() Result {
 	length := (g.w.sc.Length - settle).Seconds()
 	res := Result{
--- a/measurer/scenario.go
+++ b/measurer/scenario.go
@@ -98,6 +98,8 @@
 	// Uneven spreads the workspaces unevenly: one on all routers, the others
 	// each on a few.
 	Uneven bool
+	// Swing moves the demand from one model to the other in the middle.
+	Swing  bool
 	Fault  Fault
 	Length time.Duration
 }
--- a/measurer/world.go
+++ b/measurer/world.go
@@ -187,7 +187,7 @@
 }
 
 func (w *world) arrive(k kind, ws int, rate float64, rng *rand.Rand) {
-	gap := time.Duration(rng.ExpFloat64() / rate * float64(time.Second))
+	gap := time.Duration(rng.ExpFloat64() / (rate * w.swing(k)) * float64(time.Second))
 	w.clock.after(gap, func() {
 		w.submit(k, ws, rng)
 		w.arrive(k, ws, rate, rng)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -34,6 +34,12 @@
 	turn int64
 	// fence is the number of the last order. It only rises.
 	fence uint64
+	// told is what the others were last told, and latest the newest report,
+	// which differs from it at most in use and waiting work.
+	told   Report
+	latest Report
+	// toldAt is when that was.
+	toldAt identifier.Instant
 }
 
 // peer is what is known of another agent of the pool.
@@ -63,8 +69,8 @@
 	Served map[identifier.Kind]bool
 	// Order is for the engine, nil for none.
 	Order *Order
-	// Report is for the other agents and the routers.
-	Report Report
+	// Announce is for the other agents and the routers at once, nil for none.
+	Announce *Report
 }
 
 // New returns a placer that knows nothing yet.
@@ -114,7 +120,7 @@
 	}
 	d := Decision{Order: p.order(now)}
 	d.Served = p.served()
-	d.Report = p.report()
+	d.Announce = p.announce(now, p.report())
 	return d
 }
 
