claimer: run keys of dead agents where the target refuses repeats

Cause: a key whose agent had gone stayed unknown for ever, also where the target itself runs a key once, so that running it again could do no harm. Change: the agent's next incarnation takes such a key and passes it on as it is. At these targets a queued key is not closed, and "not run" is not said of it, since a repeat may still run in a later incarnation. Conclusion: no outcome is lost with an agent where the target can tell repeats.

--- a/agent/keys.go
+++ b/agent/keys.go
@@ -50,21 +50,42 @@
 		reply(w, http.StatusBadRequest, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "call names no key"})
 		return
 	}
+	a.board.mu.Lock()
+	defer a.board.mu.Unlock()
 	if identifier.Incarnation(inc) != a.self.Incarnation {
-		reply(w, http.StatusGone, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "the incarnation that minted the key is gone"})
+		a.answerForeign(w, r, n)
 		return
 	}
-	a.board.mu.Lock()
-	defer a.board.mu.Unlock()
 	st, err := ask(n)
 	if err != nil {
 		reply(w, http.StatusNotFound, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: err.Error()})
 		return
 	}
-	k := messenger.KeyReply{Sequence: n, State: string(st), Incarnation: a.self.Incarnation, Request: a.requestOf(n)}
+	k := messenger.KeyReply{Sequence: n, State: string(st), Incarnation: a.self.Incarnation, Request: a.requestOf(n), Revives: a.revives()}
 	if st == keeper.Ended {
 		k.Outcome = a.board.keys.Result(n).Outcome
 		k.Kept = a.board.records[k.Request] != nil
 	}
 	reply(w, http.StatusOK, k)
 }
+
+// answerForeign answers a call about a key of an earlier incarnation. Nobody can
+// close it any more. The caller holds the lock.
+func (a *Agent) answerForeign(w http.ResponseWriter, r *http.Request, n uint64) {
+	if a.revives() && r.Method == http.MethodGet {
+		reply(w, http.StatusOK, messenger.KeyReply{Sequence: n, State: string(keeper.Revived), Incarnation: a.self.Incarnation, Revives: true})
+		return
+	}
+	reply(w, http.StatusGone, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "the incarnation that minted the key is gone"})
+}
+
+// revives tells whether keys of earlier incarnations may be run here: the target
+// itself runs a key at most once. The caller holds the lock.
+func (a *Agent) revives() bool {
+	s := a.board.adopter.Current()
+	if s == nil {
+		return false
+	}
+	t, _ := s.Target(a.cfg.Target)
+	return t.RefusesRepeats
+}
--- a/agent/run.go
+++ b/agent/run.go
@@ -69,6 +69,9 @@
 // repeat answers a request whose key was used or closed before. The grant that
 // came with it, if any, is given back.
 func (a *Agent) repeat(h messenger.Handover) (rec *record, fault *messenger.Fault, repeated bool) {
+	if h.Key.Incarnation != a.self.Incarnation && a.revives() {
+		return nil, nil, false
+	}
 	if h.Key.Incarnation != a.self.Incarnation {
 		return nil, &messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "the incarnation that minted the key is gone"}, true
 	}
@@ -118,7 +121,7 @@
 		f := a.notRun(messenger.StepGrant, err.Error())
 		return nil, &f
 	}
-	if h.Key != nil {
+	if a.keeps(h.Key) {
 		// The state was checked under the same lock, so the key is fresh.
 		_, _ = a.board.keys.Start(h.Key.Sequence, h.Request)
 	}
@@ -209,7 +212,8 @@
 	}
 	c.model, c.adapter = a.board.adopter.Current().WeightsOf(kind)
 	if rec.handover.Key != nil {
-		c.key = a.sign.Format(signer.Key{Origin: a.self, Sequence: rec.handover.Key.Sequence, Class: rec.handover.Class})
+		origin := identifier.Origin{Target: a.self.Target, Incarnation: rec.handover.Key.Incarnation}
+		c.key = a.sign.Format(signer.Key{Origin: origin, Sequence: rec.handover.Key.Sequence, Class: rec.handover.Class})
 	}
 	return c
 }
@@ -248,12 +252,26 @@
 	return e
 }
 
+// keeps tells whether a key is one that this incarnation has minted.
+func (a *Agent) keeps(k *messenger.KeyRef) bool {
+	return k != nil && k.Incarnation == a.self.Incarnation
+}
+
+// finishKey notes how the request under a key ended. The caller holds the lock.
+func (a *Agent) finishKey(n uint64, o identifier.Outcome) {
+	if o == identifier.NotRun && a.revives() {
+		a.board.keys.Release(n)
+		return
+	}
+	a.board.keys.Finish(n, o)
+}
+
 // finish ends a request in all the books.
 func (a *Agent) finish(rec *record, fixed identifier.Cost, e messenger.End) {
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
-	if rec.handover.Key != nil {
-		a.board.keys.Finish(rec.handover.Key.Sequence, e.Outcome)
+	if a.keeps(rec.handover.Key) {
+		a.finishKey(rec.handover.Key.Sequence, e.Outcome)
 	}
 	e.Final = rec.cancelled
 	rec.finish(e, time.Now())
--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -54,6 +54,9 @@
 	Closed Event = "closed"
 	// Gone answers Ask and Close: the incarnation that minted the key is gone.
 	Gone Event = "gone"
+	// Revived answers Ask: the incarnation that minted the key is gone, and the
+	// key may be run in the present one, since the target refuses repeats itself.
+	Revived Event = "revived"
 	// Refused answers Queue: the request was not admitted to the queue.
 	Refused Event = "refused"
 	// Expired answers Queue: the request left the queue and was not handed over,
@@ -75,6 +78,9 @@
 	Own string
 	// Winner is the minted key under which the request runs, empty until known.
 	Winner string
+	// Revives tells that the winning key's target refuses repeats itself, so that
+	// the key may run in any incarnation. Nobody can then say that it never will.
+	Revives bool
 	// sent tells that a claim of this attempt may have taken effect.
 	sent bool
 	// lost tells that the answer to a claim was lost. It is never unset.
@@ -200,7 +206,7 @@
 
 func (a *Attempt) asked(e Event) Action {
 	switch e {
-	case Fresh:
+	case Fresh, Revived:
 		return a.next(Queue)
 	case InUse:
 		return a.next(Follow)
@@ -217,6 +223,9 @@
 	case Refused:
 		return a.drop()
 	case Expired:
+		if a.Revives {
+			break
+		}
 		return a.next(Close)
 	}
 	return a.end(identifier.Unknown)
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -47,6 +47,10 @@
 	runs   int
 	notRun bool
 	minted string
+	// revives tells that the target refuses repeats; executed are the keys that
+	// it has run.
+	revives  bool
+	executed map[string]bool
 }
 
 const (
@@ -92,6 +96,7 @@
 		}
 		return claimer.Closed, ""
 	case claimer.Ask:
+		a.Revives = h.revives
 		return h.ask(a.Winner, false), ""
 	case claimer.Close:
 		return h.ask(a.Winner, true), ""
@@ -141,12 +146,18 @@
 
 func (h *history) ask(key string, closing bool) claimer.Event {
 	a, seq, alive := h.find(key)
-	if !alive {
+	if !alive && !h.revives {
 		return claimer.Gone
 	}
 	if h.chance("agent is not reached", 15) {
 		return claimer.Failed
 	}
+	if !alive && closing {
+		return claimer.Gone
+	}
+	if !alive {
+		return claimer.Revived
+	}
 	ask := a.keys.State
 	if closing {
 		ask = a.keys.Close
@@ -187,9 +198,16 @@
 // deliver brings a handover to its agent, which takes it with a valid grant.
 func (h *history) deliver(m handover) claimer.Event {
 	a, seq, alive := h.find(m.key)
-	if !alive {
+	if !alive && !h.revives {
 		return claimer.Lost
 	}
+	if !alive {
+		if h.chance("target is not reached", 10) {
+			return claimer.Expired
+		}
+		h.execute(m.key)
+		return h.answered()
+	}
 	st, err := a.keys.Start(seq, identifier.Request(fmt.Sprint(m.attempt)))
 	if err != nil {
 		h.t.Fatal(err)
@@ -201,16 +219,29 @@
 		return h.answered()
 	}
 	if h.chance("target is not reached", 10) {
-		a.keys.Finish(seq, identifier.NotRun)
+		if h.revives {
+			a.keys.Release(seq)
+		} else {
+			a.keys.Finish(seq, identifier.NotRun)
+		}
 		return claimer.Expired
 	}
-	h.runs++
+	h.execute(m.key)
 	if !h.chance("runs on", 30) {
 		a.keys.Finish(seq, identifier.Done)
 	}
 	return h.answered()
 }
 
+// execute calls the target, which runs a key once if it refuses repeats.
+func (h *history) execute(key string) {
+	if h.revives && h.executed[key] {
+		return
+	}
+	h.executed[key] = true
+	h.runs++
+}
+
 func (h *history) answered() claimer.Event {
 	if h.chance("answer breaks", 30) {
 		return claimer.Lost
@@ -218,6 +249,7 @@
 	return claimer.Done
 }
 
+// follow asks the winning key's agent for the answer.
 func (h *history) follow(a *attemptFake) claimer.Event {
 	if _, _, alive := h.find(a.Winner); !alive {
 		return claimer.Gone
@@ -281,7 +313,8 @@
 // values.
 func TestAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		h := &history{t: t}
+		h := &history{t: t, executed: map[string]bool{}}
+		h.revives = h.chance("target refuses repeats", 30)
 		for range fakeAgents {
 			h.agents = append(h.agents, &agentFake{keys: keeper.New()})
 		}
--- a/keeper/keeper.go
+++ b/keeper/keeper.go
@@ -19,6 +19,9 @@
 	Ended State = "ended"
 	// Closed means that its request did not run and never will.
 	Closed State = "closed"
+	// Revived means that an earlier incarnation minted the key, and that it may
+	// be run here, since the target refuses repeats itself.
+	Revived State = "revived"
 )
 
 // Result is how a key's request ended.
@@ -42,7 +45,8 @@
 type Keeper struct {
 	// minted is how many keys were handed out: sequences 0 to minted-1.
 	minted uint64
-	// used has a bit for each key whose request was started. No bit is cleared.
+	// used has a bit for each key whose request was started. A bit is cleared
+	// only by Release.
 	used bits
 	// closed has a bit for each key that will never run. No bit is cleared, and
 	// a closed key is never used.
@@ -131,6 +135,13 @@
 	}
 }
 
+// Release makes key n fresh again after a start that did nothing. It is for
+// targets that refuse repeats themselves, where a key need not be closed.
+func (k *Keeper) Release(n uint64) {
+	delete(k.active, n)
+	k.used.clear(n)
+}
+
 // Result returns how an ended key's request ended. Once the record is gone the
 // outcome is unknown, for the key was used.
 func (k *Keeper) Result(n uint64) Result {
@@ -153,6 +164,12 @@
 	(*b)[n/wordBits] |= 1 << (n % wordBits)
 }
 
+func (b bits) clear(n uint64) {
+	if n/wordBits < uint64(len(b)) {
+		b[n/wordBits] &^= 1 << (n % wordBits)
+	}
+}
+
 func (b bits) get(n uint64) bool {
 	return n/wordBits < uint64(len(b)) && b[n/wordBits]&(1<<(n%wordBits)) != 0
 }
--- a/messenger/answer.go
+++ b/messenger/answer.go
@@ -103,4 +103,7 @@
 	Request identifier.Request `cbor:"5,keyasint,omitempty"`
 	// Kept tells that the answer can still be fetched.
 	Kept bool `cbor:"6,keyasint,omitempty"`
+	// Revives tells that the target refuses repeats itself, so that the key may
+	// run in a later incarnation of the agent.
+	Revives bool `cbor:"7,keyasint,omitempty"`
 }
--- a/prover/process_test.go
+++ b/prover/process_test.go
@@ -31,6 +31,8 @@
 	failure error
 	// stopping tells that it was asked to stop gracefully.
 	stopping bool
+	// relay stands before an agent.
+	relay *relay
 }
 
 // buildBinary builds the program under test.
@@ -145,7 +147,7 @@
 
 func startFleet(t *testing.T, seed uint64) *fleet {
 	t.Helper()
-	sts, err := starter.StartStandins(starter.StandinConfig{Engines: engines, Services: services, Seed: seed})
+	sts, err := starter.StartStandins(starter.StandinConfig{Engines: engines, Services: services, Seed: seed, RefuseRepeats: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -179,8 +181,9 @@
 
 func (f *fleet) addAgent(name, url string) string {
 	p := f.add(name, "agent", "-target", name, "-target-url", url)
+	p.relay = newRelay(f.t, p.address)
 	f.agents = append(f.agents, p)
-	return p.address
+	return p.relay.address()
 }
 
 func (f *fleet) addRouter(name, seeds string) {
@@ -191,6 +194,8 @@
 // configure puts the first configuration and waits until it is in force.
 func (f *fleet) configure(engineAgents, serviceAgents []string) {
 	doc := starter.Document(engineAgents, serviceAgents)
+	last := &doc.Targets[len(doc.Targets)-1]
+	last.RefusesRepeats = true
 	deadline := time.Now().Add(30 * time.Second)
 	for {
 		err := starter.PutFirst(f.t.Context(), "http://"+f.routers[0].address, doc)
@@ -232,6 +237,9 @@
 }
 
 func (f *fleet) stop() {
+	for _, p := range f.agents {
+		p.relay.cut()
+	}
 	for _, p := range slices.Concat(f.routers, f.agents) {
 		p.signal(syscall.SIGCONT)
 		p.signal(syscall.SIGKILL)
--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -55,12 +55,15 @@
 	return counts
 }
 
+// maxPause is how long a fault lasts at most, in milliseconds.
+const maxPause = 2500
+
 // fault brings about one fault and mends it.
 func (f *fleet) fault(rng *rand.Rand) string {
 	agent := f.agents[rng.IntN(len(f.agents))]
 	router := f.routers[rng.IntN(len(f.routers))]
-	pause := time.Duration(100+rng.IntN(2500)) * time.Millisecond
-	switch rng.IntN(8) {
+	pause := time.Duration(100+rng.IntN(maxPause)) * time.Millisecond
+	switch rng.IntN(12) {
 	case 0:
 		agent.kill()
 		agent.start(f.bin)
@@ -88,11 +91,30 @@
 	case 6:
 		f.drain(agent)
 		return "agent drained"
+	case 7:
+		agent.relay.cut()
+		return "links cut"
+	case 8:
+		f.network(agent, lose, pass, pause)
+		return "calls lost on the way to an agent"
+	case 9:
+		f.network(agent, pass, lose, pause)
+		return "answers lost on the way from an agent"
+	case 10:
+		f.network(agent, lose, lose, pause)
+		return "links half-open"
 	}
 	f.drain(router)
 	return "router drained"
 }
 
+// network loses the bytes of each direction to an agent for a while.
+func (f *fleet) network(agent *process, to, from flow, d time.Duration) {
+	agent.relay.set(to, from)
+	time.Sleep(d)
+	agent.relay.heal()
+}
+
 func (f *fleet) store(faults imitator.StoreFaults, d time.Duration) {
 	f.standins.Store.SetFaults(faults)
 	time.Sleep(d)
--- a/router/keys.go
+++ b/router/keys.go
@@ -88,6 +88,7 @@
 		return claimer.Lost
 	}
 	k.reply = rep
+	k.attempt.Revives = rep.Revives
 	return k.stateEvent(target)
 }
 
@@ -95,6 +96,8 @@
 	switch keeper.State(k.reply.State) {
 	case keeper.Fresh:
 		return claimer.Fresh
+	case keeper.Revived:
+		return claimer.Revived
 	case keeper.Closed:
 		k.fail(stepKey, target, reasonClosed, "the key was closed before it ran and never will run")
 		return claimer.Closed
--- a/starter/fleet.go
+++ b/starter/fleet.go
@@ -36,8 +36,10 @@
 	Log  *zap.Logger
 	Seed uint64
 	// Models and Weights are those of the stand-in engines.
-	Models  []string
-	Weights *imitator.Weights
+	Models []string
+	// RefuseRepeats is how many of the services run a key once.
+	RefuseRepeats int
+	Weights       *imitator.Weights
 	// Edit changes the first configuration, nil for no change.
 	Edit func(*configurator.Document)
 }
@@ -49,6 +51,8 @@
 	Agents   []*agent.Agent
 	Document configurator.Document
 	log      *zap.Logger
+	// configs are those of the agents, in the same order.
+	configs []agent.Config
 }
 
 // storeTimeout bounds one call to the stand-in store.
@@ -56,7 +60,7 @@
 
 // Start starts stand-ins, agents and routers, and puts the first configuration.
 func Start(ctx context.Context, cfg Config) (*Fleet, error) {
-	sts, err := StartStandins(StandinConfig{Engines: cfg.Engines, Services: cfg.Services, Seed: cfg.Seed, Models: cfg.Models, Weights: cfg.Weights})
+	sts, err := StartStandins(StandinConfig{Engines: cfg.Engines, Services: cfg.Services, Seed: cfg.Seed, Models: cfg.Models, RefuseRepeats: cfg.RefuseRepeats, Weights: cfg.Weights})
 	if err != nil {
 		return nil, err
 	}
@@ -99,17 +103,20 @@
 func (f *Fleet) startAgents(name string, urls []string) ([]string, error) {
 	var addresses []string
 	for i, url := range urls {
-		a, err := agent.Start(agent.Config{
+		cfg := agent.Config{
 			Target:     identifier.Target(fmt.Sprintf("%s-%d", name, i+1)),
 			DataCentre: dataCentre(i),
 			Listen:     address(0),
 			TargetURL:  url,
 			Security:   securer.Config{Secret: Secret},
 			Log:        f.log,
-		})
+		}
+		a, err := agent.Start(cfg)
 		if err != nil {
 			return nil, err
 		}
+		cfg.Listen = a.Address()
+		f.configs = append(f.configs, cfg)
 		f.Agents = append(f.Agents, a)
 		addresses = append(addresses, a.Address())
 		f.Standins.Instances.Set(lister.Instance{Role: lister.Agent, Name: string(a.Origin().Target), Address: a.Address(), State: lister.Live})
@@ -117,6 +124,24 @@
 	return addresses, nil
 }
 
+// RestartAgent ends the agent beside a target at once, and starts its next
+// incarnation at the same address.
+func (f *Fleet) RestartAgent(t identifier.Target) error {
+	for i, cfg := range f.configs {
+		if cfg.Target != t {
+			continue
+		}
+		f.Agents[i].Stop()
+		a, err := agent.Start(cfg)
+		if err != nil {
+			return errors.Wrapf(err, "restart agent of target %q", t)
+		}
+		f.Agents[i] = a
+		return nil
+	}
+	return fmt.Errorf("target %q does not exist", t)
+}
+
 // StartRouter adds a router to the fleet.
 func (f *Fleet) StartRouter(name string, dc identifier.DataCentre, port int, seeds []string) error {
 	r, err := router.Start(router.Config{
--- a/starter/standins.go
+++ b/starter/standins.go
@@ -32,6 +32,8 @@
 	// Models are loaded at the start, one engine after the other; none stands
 	// for the model of the local fleet.
 	Models []string
+	// RefuseRepeats is how many of the services, the last ones, run a key once.
+	RefuseRepeats int
 	// Weights is where models come from, nil for a source without a limit.
 	Weights *imitator.Weights
 }
@@ -76,8 +78,9 @@
 		s.Engines = append(s.Engines, e)
 		s.EngineURLs = append(s.EngineURLs, url)
 	}
-	for range cfg.Services {
-		v := imitator.NewService(imitator.ServiceConfig{Latency: serviceLatency})
+	for i := range cfg.Services {
+		refuses := i >= cfg.Services-cfg.RefuseRepeats
+		v := imitator.NewService(imitator.ServiceConfig{Latency: serviceLatency, RefusesRepeats: refuses})
 		url, err := s.serve(&port, v)
 		if err != nil {
 			return nil, err
