router: fuzz every decoder

Cause: only frames, handovers and keys had fuzzers. Submissions are decoded apart from their HTTP call. Names of models may have capitals and ._:/@+-, and what an engine reports is cut to such names. Found by writing the seeds: deadline_ms overflowed into the past and was refused as passed; a name such as meta/Model-3:8b in an engine's report made each frame of its agent malformed, so that all its links were closed.

--- /dev/null
+++ b/agent/fuzz_test.go
@@ -0,0 +1,54 @@
+package agent
+
+import (
+	"encoding/json"
+	"testing"
+
+	"buckthorndrum/messenger"
+	"buckthorndrum/placer"
+)
+
+// FuzzEvent checks that no event of an engine makes an answer skip or repeat a
+// token.
+func FuzzEvent(f *testing.F) {
+	f.Add(`{"index":2,"text":"x"}`, 2)
+	f.Add(`{"index":-1}`, 0)
+	f.Fuzz(func(t *testing.T, data string, at int) {
+		next := max(0, at)
+		before, seen := next, 0
+		err := take(data, &next, func(string) { seen++ })
+		var ch chunk
+		if json.Unmarshal([]byte(data), &ch) != nil && err == nil {
+			t.Fatalf("malformed event %q passed", data)
+		}
+		if want := err == nil && ch.Index == before; (seen == 1) != want || seen > 1 {
+			t.Fatalf("event %q at token %d was passed on %d times", data, before, seen)
+		}
+	})
+}
+
+// FuzzLoad checks that whatever an engine reports can be told to other agents.
+func FuzzLoad(f *testing.F) {
+	f.Add(`{"batch":3,"model":"meta/Model-3:8b","adapters":["a"],"loading":true,"fence":7}`)
+	f.Add(`{"model":"a b","adapters":["","\u0000"]}`)
+	f.Fuzz(func(t *testing.T, raw string) {
+		var l engineLoad
+		if json.Unmarshal([]byte(raw), &l) != nil {
+			return
+		}
+		p := placer.New(placer.Config{})
+		p.Reported(1, l.Loaded)
+		r := p.Told()
+		if d := p.Tick(1, placer.Local{}); d.Announce != nil {
+			r = *d.Announce
+		}
+		enc, dec := messenger.NewCoder(), messenger.NewCoder()
+		frame, err := enc.Encode(messenger.Frame{Placement: &r})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := dec.Decode(frame); err != nil {
+			t.Fatalf("report %q of the engine breaks the link: %v", raw, err)
+		}
+	})
+}
--- /dev/null
+++ b/configurator/fuzz_test.go
@@ -0,0 +1,91 @@
+package configurator_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+
+	"buckthorndrum/configurator"
+)
+
+func example(f interface{ Fatal(...any) }) []byte {
+	raw, err := os.ReadFile(filepath.Join("testdata", "document.json"))
+	if err != nil {
+		f.Fatal(err)
+	}
+	return raw
+}
+
+// FuzzDecode checks that a document that passes is the same after it was cut
+// into parts and joined again, and after it was written and read.
+func FuzzDecode(f *testing.F) {
+	f.Add(example(f))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		doc, err := configurator.Decode(raw)
+		if err != nil {
+			return
+		}
+		again, err := json.Marshal(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := configurator.Decode(again); err != nil {
+			t.Fatalf("document %s does not pass a second time: %v", again, err)
+		}
+		parts, err := configurator.Split(doc)
+		if err != nil {
+			t.Fatal(err)
+		}
+		joined, err := configurator.Join(parts)
+		if err != nil {
+			t.Fatalf("document %s cannot be joined: %v", again, err)
+		}
+		if len(joined.Workspaces) != len(doc.Workspaces) || !reflect.DeepEqual(joined.Kinds, doc.Kinds) || !reflect.DeepEqual(joined.Limits, doc.Limits) {
+			t.Fatalf("document %s was changed by its parts", again)
+		}
+	})
+}
+
+// FuzzAdopter checks that no record makes a process go back to an earlier
+// revision, or take a part into force that the head does not name.
+func FuzzAdopter(f *testing.F) {
+	doc, err := configurator.Decode(example(f))
+	if err != nil {
+		f.Fatal(err)
+	}
+	parts, err := configurator.Split(doc)
+	if err != nil {
+		f.Fatal(err)
+	}
+	head := configurator.Head{Revision: 2}
+	for _, p := range parts {
+		head.Parts = append(head.Parts, configurator.HashOf(p))
+	}
+	raw, err := json.Marshal(head)
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw, parts[0])
+	f.Add([]byte(`{"revision":1,"parts":[""]}`), []byte("{}"))
+	f.Fuzz(func(t *testing.T, other, part []byte) {
+		a := configurator.NewAdopter()
+		if _, _, err := a.OfferHead(raw); err != nil {
+			t.Fatal(err)
+		}
+		for _, p := range parts {
+			if _, err := a.OfferPart(p); err != nil {
+				t.Fatal(err)
+			}
+		}
+		_, _, _ = a.OfferHead(other)
+		_, _ = a.OfferPart(part)
+		if a.Revision() < 2 || a.Current() == nil {
+			t.Fatalf("revision %d is in force after 2", a.Revision())
+		}
+		if ps := a.Current().Document.Check(); len(ps) > 0 {
+			t.Fatal(ps)
+		}
+	})
+}
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -113,6 +113,20 @@
 
 var namePattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]*$`)
 
+// maxModelLength bounds the names of models and adapters, in bytes.
+const maxModelLength = 128
+
+var modelPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:/@+-]*$`)
+
+// CheckModel reports whether s can name a model or an adapter. Engines choose
+// these names, so that more is allowed than in other names.
+func CheckModel(what, s string) error {
+	if len(s) > maxModelLength || !modelPattern.MatchString(s) {
+		return fmt.Errorf("%s %.32q must start with a letter or digit, use only those and '._:/@+-', and have at most %d bytes", what, s, maxModelLength)
+	}
+	return nil
+}
+
 // CheckName reports whether s can name a workspace, kind, pool, target, router,
 // data centre or region; what says which of them is checked.
 func CheckName(what, s string) error {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -83,7 +83,7 @@
 
 // Reported takes in what the engine says that it has loaded. It may be late.
 func (p *Placer) Reported(now identifier.Instant, l Loaded) {
-	p.loaded, p.known, p.reported = l, true, now
+	p.loaded, p.known, p.reported = l.known(), true, now
 	if p.ordered != 0 && l.Model == p.next && !l.Loading {
 		p.next, p.ordered, p.settled = "", 0, now
 	}
--- a/placer/report.go
+++ b/placer/report.go
@@ -19,6 +19,25 @@
 	Fence uint64 `json:"fence"`
 }
 
+// known drops names that no kind can ask for, so that whatever an engine says
+// can be told to others.
+func (l Loaded) known() Loaded {
+	if identifier.CheckModel("model", string(l.Model)) != nil {
+		l.Model = ""
+	}
+	var as []identifier.Adapter
+	for _, a := range l.Adapters {
+		if identifier.CheckModel("adapter", string(a)) == nil && len(as) < maxAdapters {
+			as = append(as, a)
+		}
+	}
+	l.Adapters = as
+	return l
+}
+
+// maxAdapters bounds the adapters of one engine that are told to others.
+const maxAdapters = 256
+
 // ready tells whether the engine serves kinds with rule r.
 func (l Loaded) ready(r Rule) bool {
 	if l.Loading || l.Model != r.Model {
@@ -80,7 +99,12 @@
 		if name == "" {
 			continue
 		}
-		if err := identifier.CheckName(what, name); err != nil {
+		if err := identifier.CheckModel(what, name); err != nil {
+			return err
+		}
+	}
+	for _, a := range r.Adapters {
+		if err := identifier.CheckModel("adapter", string(a)); err != nil {
 			return err
 		}
 	}
--- a/router/callers.go
+++ b/router/callers.go
@@ -1,6 +1,7 @@
 package router
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -12,6 +13,7 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/kataras/iris/v12"
+	"github.com/pkg/errors"
 
 	"buckthorndrum/claimer"
 	"buckthorndrum/configurator"
@@ -112,15 +114,40 @@
 		p := fault(http.StatusRequestEntityTooLarge, "The body could not be read.", fmt.Sprintf("%v; bodies may have %d bytes", err, limit), "bad_body")
 		return sub, &p
 	}
-	d := json.NewDecoder(strings.NewReader(string(raw)))
-	d.DisallowUnknownFields()
-	if err := d.Decode(&sub); err != nil {
+	sub, err = decodeSubmission(raw)
+	if err != nil {
 		p := fault(http.StatusBadRequest, "The body is not a valid submission.", err.Error(), "bad_body")
 		return sub, &p
 	}
 	return sub, nil
 }
 
+// decodeSubmission reads a submission and checks its numbers.
+func decodeSubmission(raw []byte) (Submission, error) {
+	var sub Submission
+	d := json.NewDecoder(bytes.NewReader(raw))
+	d.DisallowUnknownFields()
+	if err := d.Decode(&sub); err != nil {
+		return sub, err
+	}
+	if _, err := d.Token(); err != io.EOF {
+		return sub, errors.New("text follows the submission")
+	}
+	if sub.DeadlineMS < 0 || sub.CostHint < 0 || sub.CostHint > maxHint || sub.MaxTokens < 0 {
+		return sub, fmt.Errorf("deadline_ms, cost_hint and max_tokens must not be negative, and cost_hint at most %d", maxHint)
+	}
+	return sub, nil
+}
+
+// timeLeft returns how long the answer is wanted.
+func (s Submission) timeLeft(k configurator.Kind) time.Duration {
+	ms := s.DeadlineMS
+	if ms == 0 {
+		ms = k.DeadlineMS
+	}
+	return time.Duration(min(ms, maxDeadline.Milliseconds())) * time.Millisecond
+}
+
 // newCall checks a submission and prepares its request.
 func (r *Router) newCall(w identifier.Workspace, s *configurator.Snapshot, sub Submission) (*call, *Problem) {
 	kind, ok := s.Kind(sub.Kind)
@@ -128,13 +155,6 @@
 		p := fault(http.StatusBadRequest, "The kind does not exist.", fmt.Sprintf("kind %.64q does not exist", sub.Kind), string(queuer.UnknownKind))
 		return nil, &p
 	}
-	if sub.DeadlineMS < 0 || sub.CostHint < 0 || sub.CostHint > maxHint || sub.MaxTokens < 0 {
-		p := fault(http.StatusBadRequest, "A number is out of range.", "deadline_ms, cost_hint and max_tokens must not be negative", "bad_body")
-		return nil, &p
-	}
-	if sub.DeadlineMS == 0 {
-		sub.DeadlineMS = kind.DeadlineMS
-	}
 	if sub.MaxTokens > 0 && sub.MaxTokens < kind.MaxTokens {
 		kind.MaxTokens = sub.MaxTokens
 	}
@@ -147,7 +167,7 @@
 		Class:    identifier.Class{Kind: kind.ID, Workspace: w},
 		Bytes:    len(c.body),
 		Arrived:  at,
-		Deadline: at.Add(min(time.Duration(sub.DeadlineMS)*time.Millisecond, maxDeadline)),
+		Deadline: at.Add(sub.timeLeft(kind)),
 		Hint:     identifier.Cost(sub.CostHint),
 	}
 	if sub.Prefix != "" {
--- /dev/null
+++ b/router/fuzz_test.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"buckthorndrum/claimer"
+	"buckthorndrum/configurator"
+	"buckthorndrum/identifier"
+	"buckthorndrum/messenger"
+)
+
+// FuzzSubmission checks that what passes has numbers in range.
+func FuzzSubmission(f *testing.F) {
+	f.Add([]byte(`{"kind":"ticket","payload":{"bale":7},"deadline_ms":9223372036854775807}`))
+	f.Add([]byte(`{"kind":"answer","prompt":"p","max_tokens":1,"cost_hint":2,"prefix":"x"} {}`))
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		sub, err := decodeSubmission(raw)
+		if err != nil {
+			return
+		}
+		left := sub.timeLeft(configurator.Kind{DeadlineMS: 1000})
+		if left <= 0 || left > maxDeadline {
+			t.Fatalf("deadline_ms %d leaves %s", sub.DeadlineMS, left)
+		}
+		if sub.CostHint < 0 || sub.MaxTokens < 0 {
+			t.Fatalf("submission %+v passed", sub)
+		}
+	})
+}
+
+// FuzzClaim checks that only a claim of the same request is followed.
+func FuzzClaim(f *testing.F) {
+	k := func(body string) *keyed { return &keyed{call: &call{body: []byte(body)}} }
+	own, err := encodeClaim(k("a"), "bk1~key")
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(own, "a")
+	f.Fuzz(func(t *testing.T, raw []byte, body string) {
+		e, _ := decodeClaim(k(body), raw)
+		if e == claimer.Exists && !bytes.Contains(raw, []byte(fingerprint(k(body)))) {
+			t.Fatalf("claim %q passed for another request", raw)
+		}
+	})
+}
+
+// listener takes tokens as a caller would.
+type listener struct {
+	t      *testing.T
+	tokens []string
+}
+
+func (l *listener) accepted(identifier.Request, identifier.Target) error { return nil }
+
+func (l *listener) token(index int, text string) error {
+	if index != len(l.tokens) {
+		l.t.Fatalf("token %d came after %d tokens", index, len(l.tokens))
+	}
+	l.tokens = append(l.tokens, text)
+	return nil
+}
+
+// FuzzPieces checks that no stream of an agent makes a caller's answer skip or
+// repeat a token, or passes for whole with tokens missing.
+func FuzzPieces(f *testing.F) {
+	var whole []byte
+	for _, p := range []messenger.Piece{{Tokens: []string{"a", "b"}}, {Index: 1, Tokens: []string{"b", "c"}}, {Index: 3, End: &messenger.End{Outcome: identifier.Done, Tokens: 3}}} {
+		raw, err := cbor.Marshal(p)
+		if err != nil {
+			f.Fatal(err)
+		}
+		whole = append(whole, raw...)
+	}
+	f.Add(whole, 0)
+	f.Add(whole[:len(whole)-3], 2)
+	r := &Router{}
+	r.metrics = newMetrics(r)
+	f.Fuzz(func(t *testing.T, raw []byte, prior int) {
+		had := slices.Repeat([]string{"p"}, max(0, min(prior, 8)))
+		l := &listener{t: t, tokens: slices.Clone(had)}
+		c := &call{prior: had}
+		c.item.Arrived = identifier.InstantOf(time.Now())
+		end, err := r.follow(c, bytes.NewReader(raw), l)
+		if !slices.Equal(c.prior, l.tokens) {
+			t.Fatalf("the router holds %d tokens, the caller has %d", len(c.prior), len(l.tokens))
+		}
+		if err == nil && end.Outcome == identifier.Done && end.Tokens != len(l.tokens) {
+			t.Fatalf("an answer of %d tokens passed for whole with %d", end.Tokens, len(l.tokens))
+		}
+	})
+}
