--- a/linker/link.go
+++ b/linker/link.go
@@ -18,6 +18,11 @@
 	sendQueue = 256
 	// helloTimeout bounds the exchange of hellos.
 	helloTimeout = 2 * time.Second
+	// BeatAfter is after how much silence a side sends a heartbeat.
+	BeatAfter = 1900 * time.Millisecond
+	// BeatCheck is how often that is looked at. Both together are well below
+	// SilentAfter.
+	BeatCheck = 100 * time.Millisecond
 	// SilentAfter is when a link on which nothing was received counts as lost; it
 	// may take up to twice that time.
 	SilentAfter = 3 * time.Second
@@ -39,6 +44,8 @@
 	once    sync.Once
 	// heard tells that something was received since it was last looked at.
 	heard atomic.Bool
+	// said is when a frame was queued last, in nanoseconds since the Unix epoch.
+	said atomic.Int64
 	// sent and received count bytes of frames.
 	sent, received, queued *atomic.Int64
 }
@@ -162,6 +169,7 @@
 	select {
 	case l.out <- raw:
 		l.queued.Add(int64(len(raw)))
+		l.said.Store(time.Now().UnixNano())
 		return nil
 	case <-l.done:
 		return errors.Errorf("send to %s %s: link is closed", l.Peer.Role, l.Peer.Name)
@@ -171,6 +179,9 @@
 	}
 }
 
+// Silence returns for how long nothing was sent.
+func (l *Link) Silence() time.Duration { return time.Duration(time.Now().UnixNano() - l.said.Load()) }
+
 func (l *Link) write(ctx context.Context) {
 	defer l.Close()
 	for {
--- a/measurer/baselines.go
+++ b/measurer/baselines.go
@@ -153,7 +153,7 @@
 }
 
 func (s *leastLoaded) send(r *pushRouter, t *target, j *job) {
-	r.served[j.class.Workspace] += j.hint
+	r.served[j.class.Workspace] += max(j.hint, 1)
 	r.sent[t]++
 	s.w.clock.after(s.w.delay(r.index, t.region), func() {
 		s.queues[t] = append(s.queues[t], j)
--- a/measurer/ours.go
+++ b/measurer/ours.go
@@ -7,6 +7,7 @@
 
 	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
+	"buckthorndrum/linker"
 	"buckthorndrum/messenger"
 	"buckthorndrum/queuer"
 	"buckthorndrum/scheduler"
@@ -55,6 +56,8 @@
 	queues  *queuer.Queuer
 	jobs    map[identifier.Request]*job
 	pending bool
+	// said is when each agent was sent something last, by index.
+	said []identifier.Instant
 }
 
 type oursAgent struct {
@@ -88,7 +91,7 @@
 		o.boot(a)
 	}
 	for i := range w.size.Routers {
-		r := &oursRouter{index: i, name: identifier.Router(fmt.Sprintf(routerPrefix+"%03d", i))}
+		r := &oursRouter{index: i, name: identifier.Router(fmt.Sprintf(routerPrefix+"%03d", i)), said: make([]identifier.Instant, len(o.agents))}
 		o.routers = append(o.routers, r)
 		o.routerBy[r.name] = r
 		o.bootRouter(r)
@@ -173,7 +176,8 @@
 	for _, a := range o.agents {
 		o.publishOften(a)
 	}
-	c.every(beatEvery, o.beat)
+	c.every(beatEvery, o.tellAll)
+	c.every(linker.BeatCheck, o.beat)
 	c.every(sampleEvery, o.w.gauges.sample)
 	c.every(levelEvery, o.sampleLevels)
 }
@@ -198,19 +202,35 @@
 	}
 }
 
-// beat sends the heartbeats of both sides.
+// tellAll sends the loads of all agents, which are their heartbeats.
+func (o *ours) tellAll() {
+	for _, a := range o.agents {
+		if !a.target.dead {
+			o.tell(a)
+		}
+	}
+}
+
+// beat sends the heartbeats of the routers.
 func (o *ours) beat() {
 	for _, a := range o.agents {
 		if a.target.dead {
 			continue
 		}
-		o.tell(a)
 		for _, r := range o.routers {
-			o.send(string(r.name), string(a.target.name), messenger.Frame{})
+			if o.w.clock.now.Sub(r.said[a.index]) >= linker.BeatAfter {
+				o.say(r, a, messenger.Frame{})
+			}
 		}
 	}
 }
 
+// say sends a frame of a router to an agent.
+func (o *ours) say(r *oursRouter, a *oursAgent, f messenger.Frame) {
+	r.said[a.index] = o.w.clock.now
+	o.send(string(r.name), string(a.target.name), f)
+}
+
 func (o *ours) load(r *oursRouter, a *oursAgent, load scheduler.Load) {
 	o.w.clock.after(o.w.delay(r.index, a.index), func() {
 		r.queues.SetAgent(a.target.name, a.target.pool, a.index%o.w.size.DataCentres == r.index%o.w.size.DataCentres, load.Free())
@@ -304,7 +324,7 @@
 }
 
 func (o *ours) offer(r *oursRouter, a *oursAgent, offers []scheduler.Offer) {
-	o.send(string(r.name), string(a.target.name), messenger.Frame{Offers: offers})
+	o.say(r, a, messenger.Frame{Offers: offers})
 	if o.cut(r, a) {
 		return
 	}
@@ -362,7 +382,7 @@
 		return
 	}
 	o.w.gauges.declines += len(declines)
-	o.send(string(r.name), string(a.target.name), messenger.Frame{Declines: declines})
+	o.say(r, a, messenger.Frame{Declines: declines})
 	o.w.clock.after(o.w.delay(r.index, a.index), func() {
 		for _, id := range declines {
 			o.apply(a, a.sched.Decline(o.w.clock.now, identifier.Grant{Origin: self, Number: id}))
--- a/router/links.go
+++ b/router/links.go
@@ -187,12 +187,15 @@
 	}
 }
 
-// beat sends each agent a heartbeat with the revision in force.
+// beat sends a heartbeat with the revision in force to each agent that was sent
+// nothing lately.
 func (r *Router) beat() {
 	r.board.mu.Lock()
 	defer r.board.mu.Unlock()
 	for _, a := range r.board.agents {
-		r.send(a.link, messenger.Frame{})
+		if a.link != nil && a.link.Silence() >= linker.BeatAfter {
+			r.send(a.link, messenger.Frame{})
+		}
 	}
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -28,8 +28,6 @@
 	tick = 2 * time.Millisecond
 	// linkEvery is how often missing links are dialled.
 	linkEvery = 200 * time.Millisecond
-	// beatEvery is how often heartbeats are sent.
-	beatEvery = 2 * time.Second
 	// refreshEvery is how often all offers are sent anew.
 	refreshEvery = 5 * time.Second
 )
@@ -149,7 +147,7 @@
 	ticks := time.NewTicker(tick)
 	links := time.NewTicker(linkEvery)
 	refresh := time.NewTicker(refreshEvery)
-	beats := time.NewTicker(beatEvery)
+	beats := time.NewTicker(linker.BeatCheck)
 	defer beats.Stop()
 	defer ticks.Stop()
 	defer links.Stop()
