claimer: refuse claims that are answered too late

Cause: claims that expire while a caller repeats were not tried. Reading found two ways to run a key twice: a router paused between the check of a key's age and its claim, past the claim's life, would claim it anew; and after key_age_ms was raised, claims made under the lower age expired while their keys were accepted. The fuzzer lets keys become old and claims expire. Draws are even now, and the test asks that enough histories run, repeat, are told not run, and see a claim expire.

--- a/claimer/claimer.go
+++ b/claimer/claimer.go
@@ -42,6 +42,9 @@
 	Absent Event = "absent"
 	// Mismatch answers Create and Read: the claim is for another request.
 	Mismatch Event = "mismatch"
+	// Stale answers Create and Read: an answer came when the key had become too
+	// old, so that an earlier claim of it may have expired.
+	Stale Event = "stale"
 	// Failed means that the action had no effect.
 	Failed Event = "failed"
 	// Lost means that no answer came, so that the action may have had its effect.
@@ -160,8 +163,8 @@
 
 func (a *Attempt) created(e Event, key string) Action {
 	switch e {
-	case Mismatch:
-		// Somebody has used the key for another request.
+	case Mismatch, Stale:
+		// Somebody has used the key for another request, or may have run it.
 		return a.end(identifier.Unknown)
 	case Created:
 		return a.held(a.Own)
@@ -180,7 +183,7 @@
 	if e == Exists {
 		return a.held(key)
 	}
-	if e == Mismatch {
+	if e == Mismatch || e == Stale {
 		return a.end(identifier.Unknown)
 	}
 	if a.Own == "" {
--- a/claimer/claimer_test.go
+++ b/claimer/claimer_test.go
@@ -51,15 +51,26 @@
 	// it has run.
 	revives  bool
 	executed map[string]bool
+	// old tells that the caller's key is no longer accepted by its age. Claims
+	// expire only after that.
+	old bool
 }
 
 const (
 	fakeAgents  = 2
 	maxAttempts = 4
+	maxEvents   = 60
 )
 
+// chance draws whether a fault comes about. rapid draws small numbers and the ends
+// of a range more often than others, so that the choice is made among many.
 func (h *history) chance(what string, percent int) bool {
-	return rapid.IntRange(0, 99).Draw(h.t, what) < percent
+	return h.pick(what, 100) >= 100-percent
+}
+
+// pick draws a number below n, all with the same chance. rapid shrinks it to 0.
+func (h *history) pick(what string, n int) int {
+	return int(rapid.Uint32().Draw(h.t, what)*0x9e3779b1>>7) % n
 }
 
 func (h *history) keyOf(agent int, seq uint64) string {
@@ -84,12 +95,12 @@
 		if h.chance("mint fails", 15) {
 			return claimer.Failed, ""
 		}
-		n := rapid.IntRange(0, fakeAgents-1).Draw(h.t, "mint at")
+		n := h.pick("mint at", fakeAgents)
 		return claimer.Minted, h.keyOf(n, h.agents[n].keys.Mint())
 	case claimer.Create:
-		return h.create(a.Own)
+		return h.aged(h.create(a.Own))
 	case claimer.Read:
-		return h.read()
+		return h.aged(h.read())
 	case claimer.CloseOwn:
 		if !h.chance("close is lost", 30) {
 			h.ask(a.Own, true)
@@ -129,6 +140,23 @@
 	return claimer.Exists, h.claim
 }
 
+// aged is what a router makes of the service's answer when the key has become
+// too old while it waited, or was paused.
+func (h *history) aged(e claimer.Event, key string) (claimer.Event, string) {
+	if h.old && (e == claimer.Created || e == claimer.Exists) {
+		return claimer.Stale, ""
+	}
+	return e, key
+}
+
+// pass lets time go by: the key becomes too old, and later its claim expires.
+func (h *history) pass() {
+	if h.old {
+		h.before, h.claim = "", ""
+	}
+	h.old = true
+}
+
 // read may show the value before the latest write.
 func (h *history) read() (claimer.Event, string) {
 	v := h.claim
@@ -181,10 +209,10 @@
 // queue lets the request wait, be refused, expire or be handed over. Once it is
 // handed over nothing but an answer proves what became of it.
 func (h *history) queue(i int, a *attemptFake) (claimer.Event, string) {
-	switch rapid.IntRange(0, 9).Draw(h.t, "queue") {
-	case 0:
+	switch h.pick("queue", 10) {
+	case 9:
 		return claimer.Refused, ""
-	case 1, 2:
+	case 7, 8:
 		return claimer.Expired, ""
 	}
 	m := handover{a.Winner, i}
@@ -262,6 +290,9 @@
 	if h.notRun || len(h.attempts) >= maxAttempts {
 		return
 	}
+	if h.old && h.minted == "" {
+		return // Refused by its age, before anything is done.
+	}
 	a := &attemptFake{Attempt: claimer.Attempt{First: len(h.attempts) == 0, Winner: h.minted}}
 	a.action = a.Begin()
 	h.attempts = append(h.attempts, a)
@@ -307,11 +338,39 @@
 	}
 }
 
+// event brings about one event.
+func (h *history) event() {
+	i := h.pick("attempt", len(h.attempts))
+	switch h.pick("event", 24) {
+	case 18, 19, 20:
+		h.begin()
+	case 21:
+		if h.chance("router dies", 30) {
+			h.attempts[i].ended = true
+		}
+	case 22:
+		if h.chance("agent crashes", 50) {
+			a := h.agents[h.pick("crash", fakeAgents)]
+			a.incarnation++
+			a.keys = keeper.New()
+		} else {
+			h.pass()
+		}
+	case 23:
+		if len(h.sent) > 0 {
+			h.deliver(h.sent[h.pick("again", len(h.sent))])
+		}
+	default:
+		h.step(i)
+	}
+}
+
 // TestAtMostOnce runs random histories of one key: attempts at several routers
 // that overlap, repeat and die, handovers that come late and twice, agents that
 // crash, and a key-value service that refuses, loses answers and shows old
 // values.
 func TestAtMostOnce(t *testing.T) {
+	var seen reached
 	rapid.Check(t, func(t *rapid.T) {
 		h := &history{t: t, executed: map[string]bool{}}
 		h.revives = h.chance("target refuses repeats", 30)
@@ -322,29 +381,48 @@
 			h.minted = h.keyOf(0, h.agents[0].keys.Mint())
 		}
 		h.begin()
-		for range rapid.IntRange(1, 40).Draw(t, "events") {
-			i := rapid.IntRange(0, len(h.attempts)-1).Draw(t, "attempt")
-			switch rapid.IntRange(0, 11).Draw(t, "event") {
-			case 0, 1:
-				h.begin()
-			case 2:
-				h.attempts[i].ended = true // The router dies.
-			case 3:
-				a := h.agents[rapid.IntRange(0, fakeAgents-1).Draw(t, "crash")]
-				a.incarnation++
-				a.keys = keeper.New()
-			case 4:
-				if len(h.sent) > 0 {
-					h.deliver(h.sent[rapid.IntRange(0, len(h.sent)-1).Draw(t, "again")])
-				}
-			default:
-				h.step(i)
-			}
+		for range rapid.IntRange(1, maxEvents).Draw(t, "events") {
+			h.event()
 			h.check()
 		}
 		for _, m := range h.sent {
 			h.deliver(m) // Whatever is still on its way arrives in the end.
 		}
 		h.check()
+		seen.add(h)
 	})
+	seen.check(t)
+}
+
+// reached counts what the histories came to. Random events that seldom come to a
+// run would prove little.
+type reached struct {
+	all, ran, repeated, notRun, expired int
+}
+
+func (r *reached) add(h *history) {
+	r.all++
+	r.ran += one(h.runs > 0)
+	r.repeated += one(h.runs > 0 && len(h.attempts) > 1)
+	r.notRun += one(h.notRun)
+	r.expired += one(h.runs > 0 && h.old && h.claim == "")
+}
+
+func one(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// check asks that one history in ten runs, one in twenty is repeated as well or
+// told not run, and one in a hundred has its claim expire after a run.
+func (r *reached) check(t *testing.T) {
+	t.Logf("%d histories: %d ran, %d of them repeated, %d told not run, %d with an expired claim", r.all, r.ran, r.repeated, r.notRun, r.expired)
+	if t.Failed() {
+		return
+	}
+	if r.ran*10 < r.all || r.repeated*20 < r.all || r.notRun*20 < r.all || r.expired*100 < r.all {
+		t.Errorf("too few histories come to what they are to try: %+v", *r)
+	}
 }
--- a/configurator/check.go
+++ b/configurator/check.go
@@ -218,8 +218,8 @@
 	if l.RetryRatio < 0 || l.RetryRatio > 1 {
 		c.add("limits.retry_ratio", "ratio %v is not between 0 and 1", l.RetryRatio)
 	}
-	if l.KeyAgeMS <= 0 {
-		c.add("limits.key_age_ms", "age %d is not positive", l.KeyAgeMS)
+	if l.KeyAgeMS <= 0 || l.KeyAgeMS > MaxKeyAge.Milliseconds() {
+		c.add("limits.key_age_ms", "age %d is not between 1 and %d", l.KeyAgeMS, MaxKeyAge.Milliseconds())
 	}
 	if l.ClaimsPerSecond <= 0 {
 		c.add("limits.claims_per_second", "rate %v is not positive", l.ClaimsPerSecond)
--- a/configurator/document.go
+++ b/configurator/document.go
@@ -142,20 +142,25 @@
 	RouterBytes int `json:"router_bytes"`
 	// RetryRatio is how many retries are allowed for each request, from 0 to 1.
 	RetryRatio float64 `json:"retry_ratio"`
-	// KeyAgeMS is the age up to which a caller's own key is accepted.
+	// KeyAgeMS is the age up to which a caller's own key is accepted, at most
+	// MaxKeyAge.
 	KeyAgeMS int64 `json:"key_age_ms"`
 	// ClaimsPerSecond bounds the claims that all routers together write; each
 	// takes an equal part of it.
 	ClaimsPerSecond float64 `json:"claims_per_second"`
 }
 
+// MaxKeyAge bounds the age up to which keys are accepted. Claims are kept by it
+// and not by the age in force, which may be raised later.
+const MaxKeyAge = 24 * time.Hour
+
 // DefaultLimits returns limits that suit a small fleet.
 func DefaultLimits() Limits {
 	return Limits{
 		MaxBodyBytes:    1 << 20,
 		RouterBytes:     64 << 20,
 		RetryRatio:      0.1,
-		KeyAgeMS:        (24 * time.Hour).Milliseconds(),
+		KeyAgeMS:        MaxKeyAge.Milliseconds(),
 		ClaimsPerSecond: 200,
 	}
 }
--- a/router/claims.go
+++ b/router/claims.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"buckthorndrum/claimer"
+	"buckthorndrum/configurator"
 	"buckthorndrum/storer"
 )
 
@@ -41,8 +42,9 @@
 // storePeer names the key-value service in errors.
 const storePeer = "key-value service"
 
-// claimMargin is how much longer a claim is kept than its key is accepted.
-const claimMargin = time.Hour
+// claimKept is how long a claim is kept: an hour longer than any key is accepted,
+// whatever the configuration says now or later.
+const claimKept = configurator.MaxKeyAge + time.Hour
 
 func (r *Router) claimCreate(ctx context.Context, k *keyed) (claimer.Event, string) {
 	raw, err := encodeClaim(k, k.attempt.Own)
@@ -50,7 +52,7 @@
 		k.fail(stepClaim, string(r.cfg.Name), "", err.Error())
 		return claimer.Failed, ""
 	}
-	ent, err := r.cfg.Store.Swap(ctx, claimName(k), raw, 0, r.keyAge()+claimMargin)
+	ent, err := r.cfg.Store.Swap(ctx, claimName(k), raw, 0, claimKept)
 	switch {
 	case err == nil:
 		return claimer.Created, ""
--- a/router/keyed.go
+++ b/router/keyed.go
@@ -8,6 +8,7 @@
 	"github.com/google/uuid"
 
 	"buckthorndrum/claimer"
+	"buckthorndrum/configurator"
 	"buckthorndrum/identifier"
 	"buckthorndrum/signer"
 )
@@ -100,8 +101,7 @@
 	if err != nil || id.Version() != 7 {
 		return &ending{Outcome: identifier.NotRun, Step: stepKey, Peer: self, Detail: "idempotency key is neither a minted key nor a UUIDv7", Reason: reasonBadKey}
 	}
-	sec, nsec := id.Time().UnixTime()
-	age := time.Since(time.Unix(sec, nsec))
+	age := ageOf(id)
 	limit := r.keyAge()
 	if age <= limit && age >= -maxKeySkew {
 		return nil
@@ -114,6 +114,25 @@
 	return &e
 }
 
+func ageOf(id uuid.UUID) time.Duration {
+	sec, nsec := id.Time().UnixTime()
+	return time.Since(time.Unix(sec, nsec))
+}
+
+// aged replaces an answer of the key-value service that came when the key had
+// become so old that an earlier claim of it may have expired, as after a pause.
+func aged(k *keyed, e claimer.Event) claimer.Event {
+	id, err := uuid.Parse(k.value)
+	if err != nil || (e != claimer.Created && e != claimer.Exists) {
+		return e
+	}
+	if age := ageOf(id); age > configurator.MaxKeyAge {
+		k.fail(stepClaim, storePeer, reasonKeyAge, fmt.Sprintf("idempotency key was %s old when the claim was answered", age.Round(time.Second)))
+		return claimer.Stale
+	}
+	return e
+}
+
 func (r *Router) keyAge() time.Duration {
 	r.board.mu.Lock()
 	defer r.board.mu.Unlock()
@@ -126,9 +145,11 @@
 	case claimer.Mint:
 		return r.claimMint(ctx, k)
 	case claimer.Create:
-		return r.claimCreate(ctx, k)
+		event, key = r.claimCreate(ctx, k)
+		return aged(k, event), key
 	case claimer.Read:
-		return r.claimRead(ctx, k)
+		event, key = r.claimRead(ctx, k)
+		return aged(k, event), key
 	case claimer.CloseOwn:
 		r.closeOwn(k)
 		return claimer.Closed, ""
