scheduler: fuzz what the target serves

Cause: the fuzzer did not change the kinds that a target takes work of. Change: it does, and no grant may be of another kind; preempted work still ends.

--- a/scheduler/scheduler_test.go
+++ b/scheduler/scheduler_test.go
@@ -47,6 +47,8 @@
 	used    identifier.Cost
 	serial  int
 	drained bool
+	// served are the kinds that the target takes work of, nil for all.
+	served map[identifier.Kind]bool
 }
 
 // take checks and carries out actions.
@@ -55,6 +57,9 @@
 		if o.drained {
 			o.t.Fatalf("grant %d was issued while the target is leaving", g.ID.Number)
 		}
+		if o.served != nil && !o.served[g.Class.Kind] {
+			o.t.Fatalf("grant %d of kind %s was issued, which is not served", g.ID.Number, g.Class.Kind)
+		}
 		if _, again := o.expires[g.ID.Number]; again {
 			o.t.Fatalf("grant %d was issued twice", g.ID.Number)
 		}
@@ -174,7 +179,7 @@
 func (o *target) event() {
 	t := o.t
 	router := identifier.Router(fmt.Sprint("r", rapid.IntRange(0, 2).Draw(t, "router")))
-	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	switch rapid.IntRange(0, 10).Draw(t, "event") {
 	case 0, 1:
 		c := classes[rapid.IntRange(0, len(classes)-1).Draw(t, "class")]
 		o.take(o.sched.Offered(o.now, router, []scheduler.Offer{{
@@ -206,11 +211,25 @@
 	case 8:
 		o.drained = rapid.IntRange(0, 3).Draw(t, "drain") == 0
 		o.sched.SetDraining(o.drained)
+	case 10:
+		o.serve()
 	case 9:
 		o.tick(time.Duration(rapid.IntRange(1, 900).Draw(t, "ms")) * time.Millisecond)
 	}
 }
 
+// serve changes the kinds that the target takes work of.
+func (o *target) serve() {
+	o.served = nil
+	if rapid.Bool().Draw(o.t, "some") {
+		o.served = map[identifier.Kind]bool{}
+		for _, k := range []identifier.Kind{"draft", "answer", "tag"} {
+			o.served[k] = rapid.Bool().Draw(o.t, string(k))
+		}
+	}
+	o.take(o.sched.SetServed(o.now, o.served))
+}
+
 // end lets everything run out: a leaving target still finishes what it has.
 func (o *target) end() {
 	o.drained = true
