prover: let faults of the network and of processes overlap

Change: faults of the sockets come beside those of processes and the key-value service, and links are cut ten times in a row.

--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -36,21 +36,22 @@
 	defer cancel()
 	cs := &callers{f: f, v: v, http: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}}
 	wg := cs.run(ctx, *soakSeed)
-	faults := f.injectFaults(ctx, rand.New(rand.NewPCG(*soakSeed, 99)))
+	var cuts map[string]int
+	wg.Go(func() { cuts = inject(ctx, rand.New(rand.NewPCG(*soakSeed, 98)), f.networkFault) })
+	faults := inject(ctx, rand.New(rand.NewPCG(*soakSeed, 99)), f.fault)
 	f.standins.Store.SetFaults(imitator.StoreFaults{})
 	wg.Wait()
 	f.judge(v)
-	t.Logf("seed %d, %s: faults %v, tickets %d, repeats %d, answers whole %d, without a mark %d, problems %v",
-		*soakSeed, *soakTime, faults, len(v.told), v.repeats, v.whole, v.unmarked, v.problems)
+	t.Logf("seed %d, %s: faults %v and %v, tickets %d, repeats %d, answers whole %d, without a mark %d, problems %v",
+		*soakSeed, *soakTime, faults, cuts, len(v.told), v.repeats, v.whole, v.unmarked, v.problems)
 }
 
-// injectFaults brings about faults until ctx is done and returns how many of each.
-func (f *fleet) injectFaults(ctx context.Context, rng *rand.Rand) map[string]int {
+// inject brings about faults until ctx is done and returns how many of each.
+func inject(ctx context.Context, rng *rand.Rand, fault func(*rand.Rand) string) map[string]int {
 	counts := map[string]int{}
 	for ctx.Err() == nil {
 		time.Sleep(time.Duration(200+rng.IntN(600)) * time.Millisecond)
-		name := f.fault(rng)
-		counts[name]++
+		counts[fault(rng)]++
 	}
 	return counts
 }
@@ -63,7 +64,7 @@
 	agent := f.agents[rng.IntN(len(f.agents))]
 	router := f.routers[rng.IntN(len(f.routers))]
 	pause := time.Duration(100+rng.IntN(maxPause)) * time.Millisecond
-	switch rng.IntN(12) {
+	switch rng.IntN(8) {
 	case 0:
 		agent.kill()
 		agent.start(f.bin)
@@ -91,23 +92,40 @@
 	case 6:
 		f.drain(agent)
 		return "agent drained"
-	case 7:
+	}
+	f.drain(router)
+	return "router drained"
+}
+
+// networkFault brings about one fault of the network before an agent, at the
+// same time as those of processes, and mends it.
+func (f *fleet) networkFault(rng *rand.Rand) string {
+	agent := f.agents[rng.IntN(len(f.agents))]
+	pause := time.Duration(100+rng.IntN(maxPause)) * time.Millisecond
+	switch rng.IntN(5) {
+	case 0:
 		agent.relay.cut()
 		return "links cut"
-	case 8:
+	case 1:
 		f.network(agent, lose, pass, pause)
-		return "calls lost on the way to an agent"
-	case 9:
+		return "bytes to an agent lost"
+	case 2:
 		f.network(agent, pass, lose, pause)
-		return "answers lost on the way from an agent"
-	case 10:
-		f.network(agent, lose, lose, pause)
-		return "links half-open"
+		return "bytes from an agent lost"
+	case 3:
+		for range flaps {
+			agent.relay.cut()
+			time.Sleep(pause / flaps)
+		}
+		return "links flapping"
 	}
-	f.drain(router)
-	return "router drained"
+	f.network(agent, lose, lose, pause)
+	return "links half-open"
 }
 
+// flaps is how often links that flap are cut.
+const flaps = 10
+
 // network loses the bytes of each direction to an agent for a while.
 func (f *fleet) network(agent *process, to, from flow, d time.Duration) {
 	agent.relay.set(to, from)
