estimator: count placement, and bring the busiest agent within its budget

Change: reports are rarer the more peers there are (42 s at 64); totals of the trees come down every 7 s instead of 6.

--- a/estimator/capacity.go
+++ b/estimator/capacity.go
@@ -44,7 +44,7 @@
 	// batchesPerSecond is how often an agent flushes each of its trees upwards.
 	batchesPerSecond = 1
 	// totalsPerSecond is how often totals come down each tree.
-	totalsPerSecond = 1.0 / 6
+	totalsPerSecond = 1 / (downEvery * stepSeconds)
 	// trees are the trees of one pool.
 	trees = 64
 )
@@ -156,9 +156,9 @@
 	return []Row{
 		row("agent", "processor", cpu/budgetCPU, pct(budgetCPU), pct(cpu), fmt.Sprintf("%.2f µs a grant and class, %.0f µs a frame", e.s["agent grant cycle"].Slope, e.frame()/micro), "levels of what is active only; sharded trees"),
 		row("agent", "memory", memory/budgetMemory, mb(budgetMemory), mb(memory), fmt.Sprintf("%.0f B a class, %.0f B a counted workspace, %.2f B a used key", e.s["agent backlog memory"].Slope, e.s["collector memory"].Slope, e.s["key memory"].Slope), "totals by root and not by agent; one bit a key"),
-		row("agent", "messages, mean", bytes/budgetBytes, kb(budgetBytes), kb(bytes), fmt.Sprintf("%.1f kB/s of counters for %d workspaces", spread.Mean/1e3, spread.Workspaces), "increments up, totals down 64 trees every 6 s"),
+		row("agent", "messages, mean", bytes/budgetBytes, kb(budgetBytes), kb(bytes), fmt.Sprintf("%.1f kB/s of counters for %d workspaces", spread.Mean/1e3, spread.Workspaces), "increments up, totals down 64 trees every 7 s"),
 		row("agent", "messages, busiest", most/budgetBytes, kb(budgetBytes), kb(most), fmt.Sprintf("%.1f kB/s of counters", spread.Most/1e3), "inner places spread by hash; see below"),
-		row("agent", "age of counters", 0, "-", fmt.Sprintf("%.1f s", spread.Age), "one flush a level each second, totals every 6 s", "trees of 8 children"),
+		row("agent", "age of counters", 0, "-", fmt.Sprintf("%.1f s", spread.Age), "one flush a level each second, totals every 7 s", "trees of 8 children"),
 		row("agent", "state", 0, "-", fmt.Sprintf("%.0f links, up to %d classes, %d totals", e.agentLinks(), backlogged, backlogged), "-", "nothing that must last"),
 	}
 }
--- a/estimator/convergence.go
+++ b/estimator/convergence.go
@@ -30,15 +30,15 @@
 const (
 	// upEvery and downEvery are the times between flushes up and down, in steps.
 	upEvery   = 2
-	downEvery = 12
+	downEvery = 14
 	// stepSeconds is the length of one step.
 	stepSeconds = 0.5
 	// servedPerStep is how many requests one agent serves in a step.
 	servedPerStep = 6
 	// requestCost is the mean cost of one request, in tokens.
 	requestCost = 360
-	warmSteps   = 48
-	steps       = 48
+	warmSteps   = 4 * downEvery
+	steps       = 4 * downEvery
 	batchHeader = 24 // The frame around a batch or totals, its origin by number.
 )
 
--- a/estimator/placement.go
+++ b/estimator/placement.go
@@ -9,8 +9,9 @@
 	"buckthorndrum/placer"
 )
 
-// newsPerSecond is how often an agent tells each peer what waits, at most.
-const newsPerSecond = 0.1
+// newsPerSecond is how often an agent with all its links tells each peer what
+// waits, at most.
+const newsPerSecond = 1.0 / 42
 
 // placerTicks are an agent's decisions on placement a second.
 const placerTicks = 5
--- a/placer/config.go
+++ b/placer/config.go
@@ -40,8 +40,10 @@
 	// reportAge is how long an engine's report is good for others to count on. It
 	// is shorter than hold, so that nobody acts on an outdated one.
 	reportAge = 3 * time.Second
-	// newsEvery is the least time between two reports of use and waiting work.
-	newsEvery = 10 * time.Second
+	// newsEvery is the least time between two reports of use and waiting work, and
+	// newsPerPeer how much longer it is for each peer that is told.
+	newsEvery   = 10 * time.Second
+	newsPerPeer = 500 * time.Millisecond
 	// stagger is how much longer for each target that is to act before.
 	stagger = 2 * time.Second
 	// residence is the least time between two changes of an engine's model for
--- a/placer/telling.go
+++ b/placer/telling.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"time"
 
 	"buckthorndrum/identifier"
 )
@@ -12,7 +13,7 @@
 // News returns what the other agents are to be told at a heartbeat, nil if
 // nothing has changed or they were told lately.
 func (p *Placer) News(now identifier.Instant) *Report {
-	if now.Sub(p.toldAt) < newsEvery || reflect.DeepEqual(p.told, p.latest) {
+	if now.Sub(p.toldAt) < newsEvery+time.Duration(len(p.peers))*newsPerPeer || reflect.DeepEqual(p.told, p.latest) {
 		return nil
 	}
 	p.told, p.toldAt = p.latest, now
