router: ask the seeds before the key-value service

Cause: 1,200 routers that start at once read the whole configuration from the service, 97,000 calls or 49 s at its rate, also when agents hold it. Change: a router with seeds leaves it to them for 5 to 10 s. Figures: a router started beside a running fleet makes no read for parts and at most one for the head; before, one for each. Conclusion: the worst case is left to a fleet in which no seed is up.

--- a/router/store.go
+++ b/router/store.go
@@ -25,6 +25,12 @@
 	watchWait = 20 * time.Second
 	// storeRetry is the wait after a failed call.
 	storeRetry = 500 * time.Millisecond
+	// seedsFirst bounds how long a cold router leaves it to its seeds to bring the
+	// configuration before it asks the service. Each waits between half of it and
+	// all.
+	seedsFirst = 10 * time.Second
+	// seedsCheck is how often it looks whether they have.
+	seedsCheck = 50 * time.Millisecond
 	// storeTimeout bounds one change of the configuration.
 	storeTimeout = 5 * time.Second
 )
@@ -32,6 +38,7 @@
 // watchConfig follows the head record in the key-value service.
 func (r *Router) watchConfig() {
 	var v storer.Version
+	r.awaitSeeds()
 	for r.ctx.Err() == nil {
 		if !r.watches() {
 			r.pause(listEvery)
@@ -52,6 +59,19 @@
 	}
 }
 
+// awaitSeeds gives the seeds, if there are any, time to bring the configuration,
+// so that a fleet that starts all at once does not read it all from the service.
+func (r *Router) awaitSeeds() {
+	if len(r.cfg.Seeds) == 0 {
+		return
+	}
+	begin := time.Now()
+	patience := time.Duration((1 + jitter()) / 2 * float64(seedsFirst))
+	for r.ctx.Err() == nil && r.Revision() == 0 && time.Since(begin) < patience {
+		r.pause(seedsCheck)
+	}
+}
+
 // pause waits for d or until the router stops.
 func (r *Router) pause(d time.Duration) {
 	select {
--- a/starter/starter_test.go
+++ b/starter/starter_test.go
@@ -148,6 +148,17 @@
 		}
 	})
 
+	It("starts a router from its seeds without reading the configuration", func() {
+		seeds := []string{f.Agents[0].Address()}
+		before := f.Standins.Store.Counts()
+		Expect(f.StartRouter("seeded", "dc1", 0, seeds)).To(Succeed())
+		seeded := f.Routers[len(f.Routers)-1]
+		Eventually(seeded.Revision, "20s").Should(Equal(identifier.Revision(1)))
+		after := f.Standins.Store.Counts()
+		// One call for the head, by which it watches, and none for the parts.
+		Expect(after.Reads - before.Reads).To(BeNumerically("<=", 1))
+	})
+
 	It("orders the pool's model at engines that have another one", func() {
 		for _, e := range f.Standins.Engines {
 			Eventually(e.Model, "10s").Should(Equal("drafter"))
