--- a/measurer/ours.go
+++ b/measurer/ours.go
@@ -158,10 +158,15 @@
 	r.queues = queuer.New(cfg)
 	r.jobs = map[identifier.Request]*job{}
 	for _, a := range o.agents {
-		r.queues.SetAgent(a.target.name, a.target.pool, a.index%o.w.size.DataCentres == r.index%o.w.size.DataCentres, a.target.slots)
+		r.queues.SetAgent(a.target.name, a.target.pool, o.near(r, a), a.target.slots)
 	}
 }
 
+// near tells whether a router and an agent are in the same data centre.
+func (o *ours) near(r *oursRouter, a *oursAgent) bool {
+	return a.index%o.w.size.DataCentres == r.index%o.w.size.DataCentres
+}
+
 func (o *ours) timers() {
 	c := o.w.clock
 	c.every(agentTick, func() {
@@ -233,7 +238,7 @@
 
 func (o *ours) load(r *oursRouter, a *oursAgent, load scheduler.Load) {
 	o.w.clock.after(o.w.delay(r.index, a.index), func() {
-		r.queues.SetAgent(a.target.name, a.target.pool, a.index%o.w.size.DataCentres == r.index%o.w.size.DataCentres, load.Free())
+		r.queues.SetAgent(a.target.name, a.target.pool, o.near(r, a), load.Free())
 		if n, _ := r.queues.Len(); n > 0 {
 			o.flush(r)
 		}
--- a/measurer/ours_faults.go
+++ b/measurer/ours_faults.go
@@ -39,7 +39,7 @@
 	}
 	o.boot(a)
 	for _, r := range o.routers {
-		r.queues.SetAgent(a.target.name, a.target.pool, a.index%o.w.size.DataCentres == r.index%o.w.size.DataCentres, a.target.slots)
+		r.queues.SetAgent(a.target.name, a.target.pool, o.near(r, a), a.target.slots)
 		o.flush(r)
 	}
 }
