prover: let faults last longer than every time limit on request

Cause: pauses of at most 2.6 s are shorter than the silence after which a link counts as lost (3 to 6 s), so that "paused past every time limit" was not tried. Change: -soak-pause bounds the pauses, outages and faults of the network.

--- a/prover/soak_test.go
+++ b/prover/soak_test.go
@@ -21,6 +21,7 @@
 var (
 	soakTime = flag.Duration("soak", 15*time.Second, "how long the soak runs")
 	soakSeed = flag.Uint64("soak-seed", 1, "seed of the soak's faults and callers")
+	maxPause = flag.Duration("soak-pause", 2500*time.Millisecond, "how long a pause, an outage or a fault of the network lasts at most")
 )
 
 // drainLimit is how long a graceful stop may take; the deadlines of the soak's
@@ -56,14 +57,11 @@
 	return counts
 }
 
-// maxPause is how long a fault lasts at most, in milliseconds.
-const maxPause = 2500
-
 // fault brings about one fault and mends it.
 func (f *fleet) fault(rng *rand.Rand) string {
 	agent := f.agents[rng.IntN(len(f.agents))]
 	router := f.routers[rng.IntN(len(f.routers))]
-	pause := time.Duration(100+rng.IntN(maxPause)) * time.Millisecond
+	pause := pauseOf(rng)
 	switch rng.IntN(8) {
 	case 0:
 		agent.kill()
@@ -101,7 +99,7 @@
 // same time as those of processes, and mends it.
 func (f *fleet) networkFault(rng *rand.Rand) string {
 	agent := f.agents[rng.IntN(len(f.agents))]
-	pause := time.Duration(100+rng.IntN(maxPause)) * time.Millisecond
+	pause := pauseOf(rng)
 	switch rng.IntN(5) {
 	case 0:
 		agent.relay.cut()
@@ -126,6 +124,11 @@
 // flaps is how often links that flap are cut.
 const flaps = 10
 
+// pauseOf draws how long a fault lasts.
+func pauseOf(rng *rand.Rand) time.Duration {
+	return 100*time.Millisecond + time.Duration(rng.Int64N(int64(*maxPause)))
+}
+
 // network loses the bytes of each direction to an agent for a while.
 func (f *fleet) network(agent *process, to, from flow, d time.Duration) {
 	agent.relay.set(to, from)
