router: work out what an agent serves when it changes

Change: which kinds an agent serves was worked out from the document at each frame of the agent (grants, loads); it is now when its report or the configuration changes. With one model in a pool the agent no longer sums up use and waiting work five times a second, and no longer tells of them: nobody can act on it. One constructor of dialers (linker.NewDialer), one answer to a frame's configuration (spreader.Answer), one way to run a process (processFlags.run) and one word on keys of earlier incarnations (goneKey) serve where router and agent each had their own. Left as they are: Start and assemble of router and agent, which share their order and not their parts; the coder's three numberings, which differ in type alone.

--- a/agent/agent.go
+++ b/agent/agent.go
@@ -104,13 +104,7 @@
 	a.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "buckthorndrum_agent_running", Help: "Requests that run at the target.",
 	}, func() float64 { return float64(a.Load().Running) }))
-	a.dialer = linker.Dialer{
-		Scheme:  sec.Scheme(),
-		Client:  sec.LinkClient(),
-		Sign:    func(h http.Header) { sec.Sign(h, string(cfg.Target), time.Now()) },
-		Hello:   a.hello,
-		Traffic: &a.traffic,
-	}
+	a.dialer = linker.NewDialer(sec, string(cfg.Target), a.hello, &a.traffic)
 	a.ctx, a.cancel = context.WithCancel(context.Background())
 	return a
 }
--- a/agent/keys.go
+++ b/agent/keys.go
@@ -76,7 +76,12 @@
 		reply(w, http.StatusOK, messenger.KeyReply{Sequence: n, State: string(keeper.Revived), Incarnation: a.self.Incarnation, Revives: true})
 		return
 	}
-	reply(w, http.StatusGone, messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "the incarnation that minted the key is gone"})
+	reply(w, http.StatusGone, goneKey())
+}
+
+// goneKey is the answer about a key of an earlier incarnation.
+func goneKey() *messenger.Fault {
+	return &messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "the incarnation that minted the key is gone"}
 }
 
 // revives tells whether keys of earlier incarnations may be run here: the target
--- a/agent/placing.go
+++ b/agent/placing.go
@@ -49,12 +49,12 @@
 // decidePlacement carries out what the placer says. The caller holds the lock.
 func (a *Agent) decidePlacement() {
 	sched := a.board.sched
-	d := a.board.placer.Tick(now(), placer.Local{
-		Idle:    sched.Idle(),
-		Leaving: a.board.leaving(),
-		Used:    sched.Used(),
-		Waiting: sched.Waiting(now(), waitingAge),
-	})
+	local := placer.Local{Idle: sched.Idle(), Leaving: a.board.leaving()}
+	if a.board.placer.Chooses() {
+		local.Used = sched.Used()
+		local.Waiting = sched.Waiting(now(), waitingAge)
+	}
+	d := a.board.placer.Tick(now(), local)
 	a.apply(sched.SetServed(now(), d.Served))
 	if d.Announce != nil {
 		a.announcePlacement(d.Announce)
--- a/agent/run.go
+++ b/agent/run.go
@@ -69,11 +69,11 @@
 // repeat answers a request whose key was used or closed before. The grant that
 // came with it, if any, is given back.
 func (a *Agent) repeat(h messenger.Handover) (rec *record, fault *messenger.Fault, repeated bool) {
-	if h.Key.Incarnation != a.self.Incarnation && a.revives() {
-		return nil, nil, false
-	}
-	if h.Key.Incarnation != a.self.Incarnation {
-		return nil, &messenger.Fault{Outcome: identifier.Unknown, Step: stepKey, Detail: "the incarnation that minted the key is gone"}, true
+	if !a.keeps(h.Key) {
+		if a.revives() {
+			return nil, nil, false
+		}
+		return nil, goneKey(), true
 	}
 	st, err := a.board.keys.State(h.Key.Sequence)
 	if err == nil && st == keeper.Fresh {
--- a/cmd/buckthorndrum/agent.go
+++ b/cmd/buckthorndrum/agent.go
@@ -9,6 +9,7 @@
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
 
 	"buckthorndrum/agent"
 	"buckthorndrum/identifier"
@@ -68,15 +69,9 @@
 	if err := f.check(); err != nil {
 		return err
 	}
-	log, err := f.logger()
-	if err != nil {
-		return err
-	}
-	cfg := f.config()
-	cfg.Log = log
-	a, err := agent.Start(cfg)
-	if err != nil {
-		return err
-	}
-	return serve(ctx, a, f.grace)
+	return f.run(ctx, func(log *zap.Logger) (drainable, error) {
+		cfg := f.config()
+		cfg.Log = log
+		return agent.Start(cfg)
+	})
 }
--- a/cmd/buckthorndrum/process.go
+++ b/cmd/buckthorndrum/process.go
@@ -65,6 +65,19 @@
 	return log, nil
 }
 
+// run starts a process and serves until it ends or is to stop.
+func (p *processFlags) run(ctx context.Context, start func(*zap.Logger) (drainable, error)) error {
+	log, err := p.logger()
+	if err != nil {
+		return err
+	}
+	d, err := start(log)
+	if err != nil {
+		return err
+	}
+	return serve(ctx, d, p.grace)
+}
+
 // processCommand returns the subcommand that runs a process.
 func processCommand(name, help string, errOut io.Writer, register func(*flag.FlagSet), run func(context.Context) error) *ffcli.Command {
 	fs := newFlags(name, errOut)
--- a/cmd/buckthorndrum/router.go
+++ b/cmd/buckthorndrum/router.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"go.uber.org/zap"
 
 	"buckthorndrum/identifier"
 	"buckthorndrum/lister"
@@ -68,15 +69,9 @@
 	if err := f.check(); err != nil {
 		return err
 	}
-	log, err := f.logger()
-	if err != nil {
-		return err
-	}
-	cfg := f.config()
-	cfg.Log = log
-	r, err := router.Start(cfg)
-	if err != nil {
-		return err
-	}
-	return serve(ctx, r, f.grace)
+	return f.run(ctx, func(log *zap.Logger) (drainable, error) {
+		cfg := f.config()
+		cfg.Log = log
+		return router.Start(cfg)
+	})
 }
--- a/linker/link.go
+++ b/linker/link.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"buckthorndrum/messenger"
+	"buckthorndrum/securer"
 )
 
 const (
@@ -79,6 +80,17 @@
 	Traffic *Traffic
 }
 
+// NewDialer returns the dialer of the process of this name.
+func NewDialer(sec *securer.Securer, name string, hello func() messenger.Hello, t *Traffic) Dialer {
+	return Dialer{
+		Scheme:  sec.Scheme(),
+		Client:  sec.LinkClient(),
+		Sign:    func(h http.Header) { sec.Sign(h, name, time.Now()) },
+		Hello:   hello,
+		Traffic: t,
+	}
+}
+
 // dialTimeout bounds the opening of a link.
 const dialTimeout = 2 * time.Second
 
--- a/router/board.go
+++ b/router/board.go
@@ -43,6 +43,8 @@
 	leaving bool
 	// placement is what the engine serves, nil if that is left to the engine.
 	placement *placer.Report
+	// served are the kinds that this makes it take work of, nil for all.
+	served map[identifier.Kind]bool
 }
 
 func newBoard(cfg queuer.Config) *board {
--- a/router/links.go
+++ b/router/links.go
@@ -119,6 +119,7 @@
 	}
 	if f.Placement != nil {
 		a.placement = f.Placement
+		r.noteServed(t, a)
 	}
 	r.place(t, a)
 	r.granted(t, a, f.Grants)
@@ -140,11 +141,18 @@
 	}
 	a.pool = named.Pool
 	r.board.queues.SetAgent(t, named.Pool, named.DataCentre == r.cfg.DataCentre, a.load.Free())
-	if a.placement != nil {
-		r.board.queues.SetServed(t, s.Served(named.Pool, *a.placement))
-	} else {
-		r.board.queues.SetServed(t, nil)
+	r.board.queues.SetServed(t, a.served)
+}
+
+// noteServed works out what agent a serves, after its report or the
+// configuration has changed. The caller holds the lock.
+func (r *Router) noteServed(t identifier.Target, a *agentLink) {
+	s := r.board.adopter.Current()
+	if a.placement == nil || s == nil {
+		return
 	}
+	named, _ := s.Target(t)
+	a.served = s.Served(named.Pool, *a.placement)
 }
 
 // granted hands a waiting request to each grant, or declines it.
@@ -175,14 +183,11 @@
 
 // spread handles the configuration in a frame. The caller holds the lock.
 func (r *Router) spread(l *linker.Link, f messenger.Frame) {
-	res, err := spreader.Take(r.board.adopter, f)
+	adopted, err := spreader.Answer(r.board.adopter, f, func(reply messenger.Frame) { r.send(l, reply) })
 	if err != nil {
 		r.log.Warn("configuration not taken", zap.String("peer", l.Peer.Name), reporter.Error(err))
 	}
-	for _, reply := range res.Replies {
-		r.send(l, reply)
-	}
-	if res.Adopted {
+	if adopted {
 		r.enforce(r.board.adopter.Current())
 	}
 }
--- a/router/router.go
+++ b/router/router.go
@@ -104,13 +104,7 @@
 		done:    make(chan struct{}),
 	}
 	r.metrics = newMetrics(r)
-	r.dialer = linker.Dialer{
-		Scheme:  sec.Scheme(),
-		Client:  sec.LinkClient(),
-		Sign:    func(h http.Header) { sec.Sign(h, string(cfg.Name), time.Now()) },
-		Hello:   r.hello,
-		Traffic: &r.traffic,
-	}
+	r.dialer = linker.NewDialer(sec, string(cfg.Name), r.hello, &r.traffic)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	return r
 }
@@ -216,7 +210,8 @@
 	r.limitClaims(s)
 	r.board.wanted = r.chooseAgents(s)
 	r.metrics.revision.Set(float64(s.Revision))
-	for _, a := range r.board.agents {
+	for t, a := range r.board.agents {
+		r.noteServed(t, a)
 		r.send(a.link, messenger.Frame{})
 	}
 }
--- a/spreader/spreader.go
+++ b/spreader/spreader.go
@@ -25,6 +25,16 @@
 	Adopted bool
 }
 
+// Answer handles the configuration in a frame from a peer, sends the replies, and
+// reports whether a new configuration came into force.
+func Answer(a *configurator.Adopter, f messenger.Frame, reply func(messenger.Frame)) (adopted bool, err error) {
+	res, err := Take(a, f)
+	for _, r := range res.Replies {
+		reply(r)
+	}
+	return res.Adopted, err
+}
+
 // Take handles the configuration in a frame from a peer.
 func Take(a *configurator.Adopter, f messenger.Frame) (Result, error) {
 	var res Result
