--- a/configurator/fuzz_test.go
+++ b/configurator/fuzz_test.go
@@ -10,7 +10,7 @@
 	"buckthorndrum/configurator"
 )
 
-func example(f interface{ Fatal(...any) }) []byte {
+func example(f testing.TB) []byte {
 	raw, err := os.ReadFile(filepath.Join("testdata", "document.json"))
 	if err != nil {
 		f.Fatal(err)
