--- a/estimator/capacity.go
+++ b/estimator/capacity.go
@@ -190,10 +190,10 @@
 	}
 	p := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
 	p("## Figures at the letter's size\n")
-	p("| role | resource | budget | figure | slope | mechanism | margin |")
-	p("| --- | --- | --- | --- | --- | --- | --- |")
+	p("| role | resource | budget | figure | slope | command | mechanism | margin |")
+	p("| --- | --- | --- | --- | --- | --- | --- | --- |")
 	for _, r := range e.rows() {
-		p("| %s | %s | %s | %s | %s | %s | %s |", r.Role, r.Resource, r.Budget, r.Figure, r.Slope, r.Mechanism, r.Margin)
+		p("| %s | %s | %s | %s | %s | `load -capacity` | %s | %s |", r.Role, r.Resource, r.Budget, r.Figure, r.Slope, r.Mechanism, r.Margin)
 	}
 	p("\n## Slopes\n")
 	p("| what | driver | sizes | base | slope | error |")
--- a/estimator/roles.go
+++ b/estimator/roles.go
@@ -251,6 +251,18 @@
 	})
 }
 
+// configHead is the size of the first head record.
+func configHead(n int) float64 {
+	_, ch := adopted(n)
+	return float64(len(encode(ch.Head)))
+}
+
+// configParts is how many parts the document has.
+func configParts(n int) float64 {
+	_, ch := adopted(n)
+	return float64(len(ch.Parts))
+}
+
 // configBytes is what one process receives for a change of one workspace.
 func configBytes(n int) float64 {
 	_, ch := adopted(n)
--- a/estimator/slopes.go
+++ b/estimator/slopes.go
@@ -38,6 +38,8 @@
 		{"configuration memory", "workspaces", "B", workspaces, configMemory},
 		{"configuration change", "workspaces", "µs", workspaces, configTime},
 		{"configuration change bytes", "workspaces", "B", workspaces, configBytes},
+		{"configuration head", "workspaces", "B", workspaces, configHead},
+		{"configuration parts", "workspaces", "parts", workspaces, configParts},
 		{"offers frame", "offers", "B", []int{1, 2, 4, 8, 16}, offerBytes},
 		{"grants frame", "grants", "B", []int{1, 2, 4, 8, 16}, grantBytes},
 		{"link frames, both ends", "frames a second", "µs", []int{250, 500, 1000, 2000}, frameTime},
