--- /dev/null
+++ b/admitter/admitter.go
@@ -0,0 +1,296 @@
+package admitter
+
+import (
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"buckthorndrum/identifier"
+)
+
+// Ask is one request that wants a target.
+type Ask struct {
+	Pool identifier.Pool
+	// Model names the weights that it needs, empty for a plain service.
+	Model string
+	// Chain is the shared parts of its prompt, in order.
+	Chain []Part
+	// Prompt and Output are its tokens to read and the most to generate, zero for
+	// a plain service.
+	Prompt int
+	Output int
+	// Limit is the longest time to the first token at which it is still sent.
+	Limit time.Duration
+	// Size is the memory of one target in tokens, zero if it is not known.
+	Size int
+	// Avoid are the targets that it was sent to before.
+	Avoid []identifier.Target
+	// Near is the data centre of the router.
+	Near identifier.DataCentre
+	// Seed spreads requests without a prompt over targets that are alike.
+	Seed uint64
+}
+
+// Refusal is why a request is not sent.
+type Refusal string
+
+// The reasons.
+const (
+	// NoTarget means that no target of the pool takes work.
+	NoTarget Refusal = "no target takes work"
+	// Busy means that every target would keep it waiting beyond its limit.
+	Busy Refusal = "targets are busy"
+)
+
+// Choice is where a request goes, or why it goes nowhere.
+type Choice struct {
+	Target  identifier.Target
+	Refused Refusal
+	// Wait is the expected time to the first token, or until there is room.
+	Wait time.Duration
+	// Unread is the tokens that the target is expected to read.
+	Unread int
+}
+
+// Admitter is one router's view of the targets. It is not safe for concurrent
+// use.
+type Admitter struct {
+	targets map[identifier.Target]*state
+	pools   map[identifier.Pool][]*state
+	heard   map[identifier.Router]identifier.Instant
+}
+
+// New returns an admitter without targets.
+func New() *Admitter {
+	return &Admitter{targets: map[identifier.Target]*state{}, pools: map[identifier.Pool][]*state{}, heard: map[identifier.Router]identifier.Instant{}}
+}
+
+// SetTargets replaces the list of targets. What was learned of those that stay
+// is kept.
+func (a *Admitter) SetTargets(list []Target) {
+	next := make(map[identifier.Target]*state, len(list))
+	a.pools = map[identifier.Pool][]*state{}
+	for _, t := range list {
+		s := a.targets[t.ID]
+		if s == nil || s.Start != t.Start {
+			s = &state{peers: map[identifier.Router]Load{}, parts: held{}, speed: a.usualSpeed(t.Pool)}
+		}
+		s.Target = t
+		next[t.ID] = s
+		a.pools[t.Pool] = append(a.pools[t.Pool], s)
+	}
+	a.targets = next
+}
+
+// usualSpeed returns the mean speed of a pool's targets.
+func (a *Admitter) usualSpeed(p identifier.Pool) float64 {
+	sum, n := 0.0, 0
+	for _, t := range a.targets {
+		if t.Pool == p {
+			sum += t.speed
+			n++
+		}
+	}
+	if n == 0 {
+		return initialSpeed
+	}
+	return sum / float64(n)
+}
+
+// Choose returns the target for a request, and notes nothing.
+func (a *Admitter) Choose(now identifier.Instant, q Ask) Choice {
+	usable := a.usable(now, q)
+	if len(usable) == 0 {
+		return Choice{Refused: NoTarget, Wait: shunMost}
+	}
+	if q.Model == "" {
+		return a.plain(usable, q)
+	}
+	return a.engine(now, usable, q)
+}
+
+// usable returns the targets of the pool that take work, without those that fail
+// much more than the others unless it is time to try one again.
+func (a *Admitter) usable(now identifier.Instant, q Ask) []*state {
+	var found []*state
+	for _, t := range a.pools[q.Pool] {
+		if t.Leaving || now < t.shunned || contains(q.Avoid, t.ID) {
+			continue
+		}
+		found = append(found, t)
+	}
+	usual := leastFailing(found)
+	sound := found[:0:0]
+	for _, t := range found {
+		if t.failing <= usual+failMost || now.Sub(t.tried) > tryEvery {
+			sound = append(sound, t)
+		}
+	}
+	if len(sound) == 0 {
+		return found
+	}
+	return sound
+}
+
+// leastFailing returns the least share of failures.
+func leastFailing(list []*state) float64 {
+	least := 1.0
+	for _, t := range list {
+		least = min(least, t.failing)
+	}
+	return least
+}
+
+func contains(list []identifier.Target, t identifier.Target) bool {
+	for _, v := range list {
+		if v == t {
+			return true
+		}
+	}
+	return false
+}
+
+// farPenalty is how many requests more a target in the same data centre may run
+// than one elsewhere.
+const farPenalty = 1
+
+// plain picks the least loaded target of a service that reads no prompts.
+func (a *Admitter) plain(list []*state, q Ask) Choice {
+	best, least := list[0], 0.0
+	for i, t := range list {
+		l := float64(t.load().Running) / float64(max(1, t.Slots))
+		if t.DataCentre != q.Near {
+			l += farPenalty / float64(max(1, t.Slots))
+		}
+		l += t.failing
+		l += float64(hash(q.Seed, t.ID)%1000) / 1e6
+		if i == 0 || l < least {
+			best, least = t, l
+		}
+	}
+	return Choice{Target: best.ID}
+}
+
+// hash orders targets differently for each seed.
+func hash(seed uint64, t identifier.Target) uint64 {
+	d := xxhash.NewWithSeed(seed)
+	_, _ = d.WriteString(string(t))
+	return d.Sum64()
+}
+
+// Sent is a request that was sent to a target, to be ended with Ended.
+type Sent struct {
+	target identifier.Target
+	load   Load
+	// ahead is what the target had to read for the request to begin, and at when
+	// it was sent.
+	ahead int
+	at    identifier.Instant
+	read  bool
+}
+
+// Send notes that a request is sent to target c.Target.
+func (a *Admitter) Send(now identifier.Instant, q Ask, c Choice) *Sent {
+	t := a.targets[c.Target]
+	if t == nil {
+		return &Sent{target: c.Target, at: now}
+	}
+	s := &Sent{target: c.Target, at: now, load: Load{Running: 1, Unread: c.Unread, Memory: q.Prompt + q.Output}}
+	s.ahead = t.load().Unread + c.Unread
+	t.own = t.own.plus(s.load)
+	t.tried = now
+	if q.Model != "" {
+		t.parts.use(now, chainKeys(q.Model, q.Chain))
+	}
+	return s
+}
+
+// Began notes that the first part of the answer has come.
+func (a *Admitter) Began(now identifier.Instant, s *Sent) {
+	t := a.targets[s.target]
+	if t == nil || s.read {
+		return
+	}
+	s.read = true
+	t.own.Unread -= s.load.Unread
+	t.learn(s.ahead, now.Sub(s.at))
+	s.load.Unread = 0
+}
+
+// Result is how a request ended at a target.
+type Result int
+
+// The results.
+const (
+	// Answered means that a whole answer came that is no failure.
+	Answered Result = iota
+	// Failed means that the target answered with a failure of its own, or spoilt
+	// its answer.
+	Failed
+	// Broken means that the connection failed.
+	Broken
+	// Left means that the caller went away, or that nothing is known.
+	Left
+)
+
+// Ended notes how a request ended.
+func (a *Admitter) Ended(now identifier.Instant, s *Sent, r Result) {
+	t := a.targets[s.target]
+	if t == nil {
+		return
+	}
+	t.own = t.own.plus(Load{Running: -s.load.Running, Unread: -s.load.Unread, Memory: -s.load.Memory})
+	s.load = Load{}
+	switch r {
+	case Answered:
+		t.answered(false)
+	case Failed:
+		t.answered(true)
+	case Broken:
+		t.broke(now)
+	case Left:
+	}
+}
+
+// Own returns what this router has under way at each target.
+func (a *Admitter) Own() map[identifier.Target]Load {
+	loads := map[identifier.Target]Load{}
+	for id, t := range a.targets {
+		if t.own != (Load{}) {
+			loads[id] = t.own
+		}
+	}
+	return loads
+}
+
+// Heard notes what peer p has under way.
+func (a *Admitter) Heard(now identifier.Instant, p identifier.Router, loads map[identifier.Target]Load) {
+	a.heard[p] = now
+	for id, t := range a.targets {
+		l, ok := loads[id]
+		if !ok {
+			delete(t.peers, p)
+			continue
+		}
+		t.peers[p] = l
+	}
+}
+
+// peerLife is how long what a peer said counts.
+const peerLife = time.Second
+
+// Tick forgets peers that are silent and parts that are no longer used.
+func (a *Admitter) Tick(now identifier.Instant) {
+	for p, at := range a.heard {
+		if now.Sub(at) <= peerLife {
+			continue
+		}
+		delete(a.heard, p)
+		for _, t := range a.targets {
+			delete(t.peers, p)
+		}
+	}
+	for _, t := range a.targets {
+		t.parts.forget(now)
+	}
+}
--- /dev/null
+++ b/admitter/target.go
@@ -0,0 +1,124 @@
+package admitter
+
+import (
+	"time"
+
+	"buckthorndrum/identifier"
+)
+
+// Target is what is known of one target from the platform.
+type Target struct {
+	ID   identifier.Target
+	Pool identifier.Pool
+	// Slots is how many requests it runs at once.
+	Slots int
+	// DataCentre is where it runs.
+	DataCentre identifier.DataCentre
+	// Leaving tells that it takes no new work.
+	Leaving bool
+	// Start changes when the target has started anew and holds nothing.
+	Start int64
+}
+
+// Load is what one router has under way at one target.
+type Load struct {
+	_ struct{} `cbor:",toarray"`
+	// Running counts the requests that were sent and have not ended.
+	Running int
+	// Unread is the prompt tokens that it is expected to read before those of a
+	// new request.
+	Unread int
+	// Memory is the tokens that the running requests may come to hold.
+	Memory int
+}
+
+func (l Load) plus(m Load) Load {
+	return Load{Running: l.Running + m.Running, Unread: l.Unread + m.Unread, Memory: l.Memory + m.Memory}
+}
+
+// state is what this router knows of one target.
+type state struct {
+	Target
+	own   Load
+	peers map[identifier.Router]Load
+	parts held
+	// speed is how many prompt tokens it reads in a millisecond.
+	speed float64
+	// shunned is until when it gets no work, and faults how many failures came in
+	// a row.
+	shunned identifier.Instant
+	faults  int
+	// failing is the smoothed share of answers that are failures.
+	failing float64
+	// tried is when a failing target was last given a request.
+	tried identifier.Instant
+}
+
+// load returns what all routers have under way at the target.
+func (t *state) load() Load {
+	sum := t.own
+	for _, l := range t.peers {
+		sum = sum.plus(l)
+	}
+	return sum
+}
+
+// wait returns how long the target takes to read so many tokens.
+func (t *state) wait(tokens int) time.Duration {
+	return time.Duration(float64(tokens) / t.speed * float64(time.Millisecond))
+}
+
+const (
+	// initialSpeed is the reading speed assumed of a target that has shown none,
+	// in tokens a millisecond.
+	initialSpeed = 60
+	minSpeed     = 10
+	maxSpeed     = 1000
+	// speedWeight is the weight of one observation.
+	speedWeight = 0.05
+	// minRead is the least tokens whose reading shows a speed.
+	minRead = 1000
+)
+
+// learn takes in that so many tokens were read in that time.
+func (t *state) learn(tokens int, took time.Duration) {
+	if tokens < minRead || took <= 0 {
+		return
+	}
+	seen := float64(tokens) / (float64(took) / float64(time.Millisecond))
+	t.speed = min(maxSpeed, max(minSpeed, t.speed+(seen-t.speed)*speedWeight))
+}
+
+const (
+	// shunFirst is for how long a target gets no work after a first failure of
+	// its connection, doubled with each further one up to shunMost.
+	shunFirst = 250 * time.Millisecond
+	shunMost  = 2 * time.Second
+	// failWeight is the weight of one answer in the share of failures.
+	failWeight = 0.1
+	// failMost is the share of failures above the pool's from which a target is
+	// only tried now and then.
+	failMost = 0.2
+	// tryEvery is how often it is tried.
+	tryEvery = 300 * time.Millisecond
+)
+
+// answered takes in that the target answered, with a failure or not.
+func (t *state) answered(failed bool) {
+	t.faults = 0
+	v := 0.0
+	if failed {
+		v = 1
+	}
+	t.failing += (v - t.failing) * failWeight
+}
+
+// broke takes in that a connection to the target failed.
+func (t *state) broke(now identifier.Instant) {
+	d := shunFirst
+	for n := 0; n < t.faults && d < shunMost; n++ {
+		d *= 2
+	}
+	t.faults++
+	t.shunned = max(t.shunned, now.Add(min(d, shunMost)))
+}
--- /dev/null
+++ b/clocker/doc.go
@@ -0,0 +1,2 @@
+// Package clocker reads the clock on which every wait, age and limit is counted.
+package clocker
--- a/cmd/buckthorndrum/main.go
+++ b/cmd/buckthorndrum/main.go
@@ -101,6 +101,7 @@
 		Subcommands: []*ffcli.Command{
 			newRouterCommand(errOut),
 			newAgentCommand(errOut),
+			newPlatformCommand(errOut),
 			newLocalCommand(out, errOut),
 			newStandinCommand(out, errOut),
 			newCheckCommand(out, errOut),
--- /dev/null
+++ b/exchanger/conn.go
@@ -0,0 +1,172 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"buckthorndrum/identifier"
+)
+
+// conn is one connection to a target. One exchange uses it at a time.
+type conn struct {
+	net.Conn
+	br *bufio.Reader
+	// keep is how long it may stay idle, since when it is idle.
+	keep  time.Duration
+	since identifier.Instant
+	// writing is closed when the body of the last request was written.
+	writing chan struct{}
+	// wrote tells that it was written whole. It is read after writing is closed.
+	wrote bool
+}
+
+// readBuffer is the size of a connection's read buffer, in bytes.
+const readBuffer = 4 << 10
+
+func newConn(c net.Conn) *conn {
+	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), keep: unstatedIdle}
+}
+
+func (k *conn) close() { _ = k.Close() }
+
+// quiet tells whether an idle connection is open and has received no byte.
+// Whatever came while no request was waiting belongs to none.
+func (k *conn) quiet() bool {
+	if k.br.Buffered() > 0 {
+		return false
+	}
+	sc, ok := k.Conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	idle := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := syscall.Read(int(fd), b[:])
+		idle = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && idle
+}
+
+// inlineBody is the largest body that is written before the answer is read, in
+// bytes. A target may answer before it reads a longer one, and both sides would
+// then wait for each other.
+const inlineBody = 4 << 10
+
+// write sends a request. sent tells whether a byte of it may have left.
+func (k *conn) write(c Call) (sent bool, err error) {
+	k.writing = make(chan struct{})
+	k.wrote = false
+	if len(c.Body) <= inlineBody {
+		defer close(k.writing)
+		whole := append(append(make([]byte, 0, len(c.Head)+len(c.Body)), c.Head...), c.Body...)
+		n, err := k.Write(whole)
+		k.wrote = err == nil
+		return n > 0 || err == nil, err
+	}
+	n, err := k.Write(c.Head)
+	if err != nil {
+		close(k.writing)
+		return n > 0, err
+	}
+	go func() {
+		defer close(k.writing)
+		_, err := k.Write(c.Body)
+		k.wrote = err == nil
+	}()
+	return true, nil
+}
+
+// maxForeign bounds the answers to other requests that are skipped.
+const maxForeign = 3
+
+// read returns the answer to request c, and skips late ones to others.
+func (k *conn) read(c Call, identify func(http.Header) string) (*http.Response, error) {
+	for skipped := 0; ; skipped++ {
+		resp, err := k.readFinal(c)
+		if err != nil {
+			return nil, err
+		}
+		if identify == nil {
+			return resp, nil
+		}
+		id := identify(resp.Header)
+		if id == c.ID || (id == "" && skipped == 0) {
+			return resp, nil
+		}
+		if skipped >= maxForeign {
+			return nil, errors.New("too many answers to other requests")
+		}
+		if err := drain(resp); err != nil {
+			return nil, errors.Wrap(err, "skip an answer to another request")
+		}
+	}
+}
+
+// readFinal reads the next answer that is not an interim one.
+func (k *conn) readFinal(c Call) (*http.Response, error) {
+	for {
+		resp, err := http.ReadResponse(k.br, &http.Request{Method: c.Method})
+		if err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return nil, errors.New("target switched protocols")
+		}
+	}
+}
+
+// maxSkipped bounds the body of an answer that is skipped, in bytes.
+const maxSkipped = 1 << 20
+
+func drain(resp *http.Response) error {
+	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+		return errors.New("the connection ends with it")
+	}
+	buf := make([]byte, readBuffer)
+	for total := 0; total < maxSkipped; {
+		n, err := resp.Body.Read(buf)
+		total += n
+		if err != nil {
+			if err.Error() == "EOF" {
+				return nil
+			}
+			return err
+		}
+	}
+	return errors.New("it is too long")
+}
+
+// note takes the time that the target keeps the connection idle.
+func (k *conn) note(h http.Header) {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
+		if !ok || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if s, err := strconv.Atoi(value); err == nil {
+			k.keep = max(0, time.Duration(s)*time.Second-idleMargin)
+		}
+	}
+}
+
+// closeOn closes the connection when ctx ends, until stop is called.
+func (k *conn) closeOn(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, k.close)
+}
--- /dev/null
+++ b/exchanger/pool.go
@@ -0,0 +1,175 @@
+package exchanger
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+
+	"buckthorndrum/clocker"
+	"buckthorndrum/identifier"
+)
+
+// Config sets up a pool.
+type Config struct {
+	// DialTimeout bounds the opening of a connection.
+	DialTimeout time.Duration
+	// SilentAfter is when a connection whose peer acknowledges nothing is lost.
+	SilentAfter time.Duration
+	// MaxIdle bounds the idle connections to one address.
+	MaxIdle int
+	// Identify returns the id of the request that an answer belongs to, empty if
+	// the answer does not tell. Nil if answers never do.
+	Identify func(http.Header) string
+}
+
+const (
+	// unstatedIdle is how long a connection is kept idle whose peer does not say
+	// how long it keeps it.
+	unstatedIdle = 3 * time.Second
+	// probeEvery is the time between two probes of a silent connection.
+	probeEvery = time.Second
+	// probes is how many probes may stay unanswered.
+	probes = 2
+	// idleMargin is how much earlier than its peer the pool closes a connection.
+	idleMargin = 500 * time.Millisecond
+)
+
+// Pool keeps connections to targets. It is safe for concurrent use.
+type Pool struct {
+	cfg    Config
+	dialer net.Dialer
+	mu     sync.Mutex
+	// idle holds the idle connections by address, the latest used last.
+	idle map[string][]*conn
+	// opened counts the connections opened.
+	opened uint64
+}
+
+// New returns an empty pool.
+func New(cfg Config) *Pool {
+	p := &Pool{cfg: cfg, idle: map[string][]*conn{}}
+	p.dialer = net.Dialer{
+		Timeout:         cfg.DialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeEvery, Interval: probeEvery, Count: probes},
+		Control: func(_, _ string, raw syscall.RawConn) error {
+			return limitSilence(raw, cfg.SilentAfter)
+		},
+	}
+	return p
+}
+
+// limitSilence lets the kernel drop a connection whose peer acknowledges
+// nothing for that long.
+func limitSilence(raw syscall.RawConn, after time.Duration) error {
+	var set error
+	err := raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(after.Milliseconds()))
+	})
+	if err != nil {
+		return err
+	}
+	return set
+}
+
+// Opened returns how many connections were opened.
+func (p *Pool) Opened() uint64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.opened
+}
+
+// take returns an idle connection to the address, or a new one.
+func (p *Pool) take(ctx context.Context, c Call) (*conn, error) {
+	for {
+		k := p.pop(c)
+		if k == nil {
+			return p.dial(ctx, c.Address)
+		}
+		if k.quiet() {
+			return k, nil
+		}
+		k.close()
+	}
+}
+
+// pop takes the idle connection that was used last, if it may still be used.
+func (p *Pool) pop(c Call) *conn {
+	now := clocker.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[c.Address]
+	n := len(list)
+	if n == 0 {
+		return nil
+	}
+	k := list[n-1]
+	keep := k.keep
+	if !c.Repeatable {
+		keep /= 2
+	}
+	if now.Sub(k.since) > keep {
+		return nil
+	}
+	list[n-1] = nil
+	p.idle[c.Address] = list[:n-1]
+	return k
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	nc, err := p.dialer.DialContext(ctx, "tcp4", address)
+	if err != nil {
+		return nil, err
+	}
+	p.mu.Lock()
+	p.opened++
+	p.mu.Unlock()
+	return newConn(nc), nil
+}
+
+// put keeps a connection whose answer was read to its end.
+func (p *Pool) put(address string, k *conn) {
+	k.since = clocker.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[address]) >= p.cfg.MaxIdle {
+		go k.close()
+		return
+	}
+	p.idle[address] = append(p.idle[address], k)
+}
+
+// Sweep closes the connections that have been idle for too long.
+func (p *Pool) Sweep(now identifier.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, k := range list {
+			if now.Sub(k.since) > k.keep {
+				go k.close()
+				continue
+			}
+			kept = append(kept, k)
+		}
+		clear(list[len(kept):])
+		p.idle[address] = kept
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		}
+	}
+}
+
+// Drop closes the idle connections to an address, as when its target has left.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, k := range p.idle[address] {
+		go k.close()
+	}
+	delete(p.idle, address)
+}
--- /dev/null
+++ b/forwarder/answer.go
@@ -0,0 +1,121 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"buckthorndrum/admitter"
+	"buckthorndrum/exchanger"
+	"buckthorndrum/reporter"
+)
+
+// maxHeld is the largest answer that is read whole before the caller gets it,
+// in bytes.
+const maxHeld = 4 << 20
+
+// skip reads a short answer to its end, so that its connection can be used again.
+func skip(a *exchanger.Answer) {
+	const most = 16 << 10
+	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, most))
+	if err != nil || n == most {
+		a.Abort()
+		return
+	}
+	a.Keep()
+}
+
+// relay passes a target's answer on. The result is again if the caller has got
+// nothing that it could not get from another target.
+func (f *Forwarder) relay(ctx context.Context, c *call, t *chosen, a *exchanger.Answer) (admitter.Result, *ending) {
+	if a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+		return f.relayStream(ctx, c, t, a)
+	}
+	if c.begun() {
+		// A stream that has begun can only go on with events.
+		a.Abort()
+		return f.brokenStream(c, t, "no stream to go on with")
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, maxHeld+1))
+	if err != nil || len(body) > maxHeld {
+		a.Abort()
+		f.log.Info("answer broke off", zap.String("request", string(c.facts.ID)), zap.String("target", string(t.choice.Target)), reporter.Error(err))
+		return f.unanswered(ctx, c, t, "answer broke off")
+	}
+	a.Keep()
+	failed := a.Status >= http.StatusInternalServerError
+	if failed && c.repeatable() && c.runs < c.route.Attempts {
+		if e := f.again(c, t, "target failed"); e == nil {
+			return again, nil
+		}
+	}
+	f.began(t)
+	return f.pass(c, a, body, failed), nil
+}
+
+// unanswered decides what follows an answer that broke off.
+func (f *Forwarder) unanswered(ctx context.Context, c *call, t *chosen, why string) (admitter.Result, *ending) {
+	if ctx.Err() != nil {
+		return admitter.Left, f.truth(c, &ending{status: http.StatusGatewayTimeout, reason: "The time limit has passed."})
+	}
+	if e := f.again(c, t, why); e != nil {
+		return admitter.Failed, e
+	}
+	return again, nil
+}
+
+// pass writes a whole answer to the caller.
+func (f *Forwarder) pass(c *call, a *exchanger.Answer, body []byte, failed bool) admitter.Result {
+	copyHeader(c.w.Header(), a.Header)
+	if c.r.Method != http.MethodHead {
+		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
+	c.w.WriteHeader(a.Status)
+	_, _ = c.w.Write(body)
+	if failed {
+		return admitter.Failed
+	}
+	return admitter.Answered
+}
+
+// copyHeader copies an answer's header without what concerns one connection.
+func copyHeader(to, from http.Header) {
+	stopping := to.Get("Connection")
+	h := from.Clone()
+	strip(h)
+	h.Del("Content-Length")
+	for name, values := range h {
+		to[name] = values
+	}
+	if _, ok := to["Date"]; !ok {
+		to["Date"] = nil
+	}
+	if _, ok := to["Content-Type"]; !ok {
+		to["Content-Type"] = nil
+	}
+	if stopping != "" {
+		to.Set("Connection", stopping)
+	}
+}
+
+// end answers a request that no target answered. One whose answer has begun is
+// broken off, so that it does not look complete.
+func (f *Forwarder) end(c *call, e ending) {
+	f.log.Info("request ended", zap.String("request", string(c.facts.ID)), zap.Int("status", e.status), zap.String("reason", e.reason),
+		zap.Int("sends", c.sends), zap.Bool("may_have_run", c.mayHaveRun), zap.Bool("begun", c.begun()))
+	if c.begun() {
+		panic(http.ErrAbortHandler)
+	}
+	h := c.w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	if e.retryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatFloat(float64(e.retryAfter)/float64(time.Second), 'f', 3, 64))
+	}
+	c.w.WriteHeader(e.status)
+	_, _ = io.WriteString(c.w, e.reason+"\n")
+}
--- /dev/null
+++ b/forwarder/call.go
@@ -0,0 +1,264 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"buckthorndrum/admitter"
+	"buckthorndrum/clocker"
+	"buckthorndrum/identifier"
+)
+
+// call is one caller's request in hand.
+type call struct {
+	w       http.ResponseWriter
+	r       *http.Request
+	facts   Facts
+	body    []byte
+	arrived identifier.Instant
+	// deadline is when the caller is answered at the latest.
+	deadline  identifier.Instant
+	route     *Route
+	workspace identifier.Workspace
+	pool      identifier.Pool
+	// mayHaveRun tells that a target may have run the request.
+	mayHaveRun bool
+	// runs counts the targets that may have run it, sends all sendings.
+	runs  int
+	sends int
+	tried []identifier.Target
+	// stream is the answer's stream so far, nil before it began.
+	stream *stream
+	// seed spreads requests without a prompt.
+	seed uint64
+}
+
+// ending is how a request ends without a target's answer.
+type ending struct {
+	status int
+	// reason is a short sentence.
+	reason string
+	// retryAfter is when the caller may come back, zero for no hint.
+	retryAfter time.Duration
+}
+
+// ServeHTTP serves one caller's request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	c := &call{w: w, r: r, arrived: clocker.Now(), seed: rand.Uint64()}
+	if f.board.stopping.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c.facts = f.cfg.Dialect.Read(r.Header)
+	ctx, cancel, e := f.intake(c)
+	if e == nil {
+		defer cancel()
+		e = f.run(ctx, c)
+	}
+	if e != nil {
+		f.end(c, *e)
+	}
+}
+
+// stale is the ending of a request whose key cannot be relied on.
+func stale() *ending {
+	return &ending{status: http.StatusServiceUnavailable, reason: "The configuration may be out of date.", retryAfter: time.Second}
+}
+
+// intake checks a request and reads its body.
+func (f *Forwarder) intake(c *call) (context.Context, context.CancelFunc, *ending) {
+	if e := f.admit(c); e != nil {
+		return nil, nil, e
+	}
+	limit := c.facts.Patience
+	if t := c.route.Timeout; t > 0 && (limit <= 0 || t < limit) {
+		limit = t
+	}
+	if limit <= 0 {
+		limit = defaultPatience
+	}
+	c.deadline = c.arrived.Add(limit)
+	if e := f.readBody(c); e != nil {
+		return nil, nil, e
+	}
+	ctx, cancel := context.WithTimeout(c.r.Context(), c.deadline.Sub(clocker.Now()))
+	return ctx, cancel, nil
+}
+
+// defaultPatience is how long a request may take if nobody says.
+const defaultPatience = time.Minute
+
+// admit finds the route and the workspace of a request in the configuration in
+// force. It is called again before each sending.
+func (f *Forwarder) admit(c *call) *ending {
+	s := f.board.snapshot.Load()
+	if s == nil {
+		return &ending{status: http.StatusServiceUnavailable, reason: "There is no configuration yet.", retryAfter: time.Second}
+	}
+	now := clocker.Now()
+	route := s.Match(c.r.Host, path(c.r))
+	if route == nil {
+		if !f.fresh(now) {
+			return stale()
+		}
+		return &ending{status: http.StatusNotFound, reason: "There is no such route."}
+	}
+	c.route = route
+	if route.Public {
+		c.workspace = ""
+		return nil
+	}
+	if !f.fresh(now) {
+		return stale()
+	}
+	w, ok := s.WorkspaceOf(c.facts.Key)
+	if !ok {
+		return &ending{status: http.StatusUnauthorized, reason: "The key is not valid."}
+	}
+	c.workspace = w
+	return nil
+}
+
+// path returns the path as the caller sent it.
+func path(r *http.Request) string {
+	p, _, _ := strings.Cut(target(r), "?")
+	return p
+}
+
+// target returns the request target in origin form as the caller sent it.
+func target(r *http.Request) string {
+	if strings.HasPrefix(r.RequestURI, "/") {
+		return r.RequestURI
+	}
+	return r.URL.RequestURI()
+}
+
+// defaultMaxBody bounds a body if the configuration does not, in bytes.
+const defaultMaxBody = 8 << 20
+
+func (f *Forwarder) readBody(c *call) *ending {
+	most := int64(defaultMaxBody)
+	if s := f.board.snapshot.Load(); s != nil && s.Limits.MaxBody > 0 {
+		most = s.Limits.MaxBody
+	}
+	if c.r.ContentLength > most {
+		return &ending{status: http.StatusRequestEntityTooLarge, reason: "The body is too large."}
+	}
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, most+1))
+	if err != nil {
+		return &ending{status: http.StatusBadRequest, reason: "The body broke off."}
+	}
+	if int64(len(body)) > most {
+		return &ending{status: http.StatusRequestEntityTooLarge, reason: "The body is too large."}
+	}
+	c.body = body
+	return nil
+}
+
+// run sends a request until it has an answer or is given up.
+func (f *Forwarder) run(ctx context.Context, c *call) *ending {
+	pool, ok := c.route.pick(c.seed)
+	if !ok {
+		return &ending{status: http.StatusServiceUnavailable, reason: "The route has no pool.", retryAfter: time.Second}
+	}
+	c.pool = pool
+	now := clocker.Now()
+	f.countRequest(now, pool)
+	f.asked(now, c)
+	for {
+		t, e := f.choose(c)
+		if e != nil {
+			return e
+		}
+		done, e := f.attempt(ctx, c, t)
+		if done || e != nil {
+			return e
+		}
+	}
+}
+
+// asked notes what the workspace asks for.
+func (f *Forwarder) asked(now identifier.Instant, c *call) {
+	if size := c.size(); size > 0 {
+		f.board.mu.Lock()
+		f.board.sharer.Asked(now, c.workspace, size)
+		f.board.mu.Unlock()
+	}
+}
+
+// generatedWeight is how many tokens read a generated one counts for.
+const generatedWeight = 2
+
+// size returns the request's part of the engines' rate, in tokens.
+func (c *call) size() int { return c.facts.Prompt + generatedWeight*c.facts.Output }
+
+// Parts of the tightest aim of a pool within which the first token is expected
+// for a request to be sent: of a workspace within its share, and beyond it.
+const (
+	withinShare = 0.8
+	beyondShare = 0.25
+)
+
+// chosen is a target that was picked for a request.
+type chosen struct {
+	choice  admitter.Choice
+	ask     admitter.Ask
+	address string
+	sent    *admitter.Sent
+}
+
+// choose picks a target and notes the sending, or says why there is none.
+func (f *Forwarder) choose(c *call) (*chosen, *ending) {
+	s := f.board.snapshot.Load()
+	now := clocker.Now()
+	q := admitter.Ask{
+		Pool: c.pool, Model: c.facts.Model, Chain: c.facts.Chain, Prompt: c.facts.Prompt, Output: c.facts.Output,
+		Size: s.pools[c.pool].Memory, Avoid: c.tried, Near: f.cfg.DataCentre, Seed: c.seed,
+	}
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	within := q.Model == "" || f.board.sharer.Within(now, c.workspace)
+	q.Limit = limit(s.tightest[c.pool], within || c.runs > 0)
+	choice := f.board.admitter.Choose(now, q)
+	if choice.Refused != "" {
+		return nil, f.refused(c, choice, within)
+	}
+	if q.Model != "" && c.runs == 0 {
+		f.board.sharer.Given(now, c.workspace, c.size())
+	}
+	return &chosen{choice: choice, ask: q, address: f.board.addresses[choice.Target], sent: f.board.admitter.Send(now, q, choice)}, nil
+}
+
+func limit(tightest time.Duration, within bool) time.Duration {
+	if tightest <= 0 {
+		tightest = time.Second
+	}
+	if within {
+		return time.Duration(withinShare * float64(tightest))
+	}
+	return time.Duration(beyondShare * float64(tightest))
+}
+
+const (
+	// minRetryAfter and maxRetryAfter bound the hint when to come back.
+	minRetryAfter = 150 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
+)
+
+// refused is the ending of a request for which no target has room.
+func (f *Forwarder) refused(c *call, choice admitter.Choice, within bool) *ending {
+	after := choice.Wait
+	if !within {
+		after = max(after, time.Second)
+	}
+	after = min(max(after, minRetryAfter), maxRetryAfter)
+	after += time.Duration(rand.Float64() * float64(after) / 2)
+	f.log.Info("request refused", zap.String("request", string(c.facts.ID)), zap.String("reason", string(choice.Refused)),
+		zap.Bool("within_share", within), zap.Duration("wait", choice.Wait), zap.String("workspace", string(c.workspace)))
+	return &ending{status: http.StatusServiceUnavailable, reason: "All targets are busy.", retryAfter: after}
+}
--- /dev/null
+++ b/forwarder/dialect.go
@@ -0,0 +1,58 @@
+package forwarder
+
+import (
+	"net/http"
+	"time"
+
+	"buckthorndrum/admitter"
+	"buckthorndrum/identifier"
+)
+
+// Dialect reads and writes the headers that callers and targets use.
+type Dialect interface {
+	// Read takes what it needs from a caller's header.
+	Read(h http.Header) Facts
+	// Write replaces in a caller's header, which it may change, what a target is
+	// told.
+	Write(h http.Header, s Sending)
+	// Judge says what a target's answer tells besides its body.
+	Judge(status int, h http.Header) Verdict
+}
+
+// Facts are what a caller says of its request.
+type Facts struct {
+	// ID names the attempt.
+	ID identifier.Request
+	// Patience is how long the caller waits, zero if it does not say.
+	Patience time.Duration
+	Key      string
+	Model    string
+	// Prompt and Output are tokens to read and the most to generate.
+	Prompt int
+	Output int
+	Chain  []admitter.Part
+	// After is the last event of a stream that the caller has.
+	After string
+}
+
+// Sending is what a target is told with a request.
+type Sending struct {
+	Target    identifier.Target
+	Workspace identifier.Workspace
+	// Left is how long the target may work.
+	Left time.Duration
+	// After is the last event of the stream that the caller has.
+	After string
+}
+
+// Verdict is what a target's answer tells.
+type Verdict struct {
+	// NotRun tells that the target did not run the request.
+	NotRun bool
+	// Moved tells that another target has the address.
+	Moved bool
+	// Genuine tells that the answer is the target's own.
+	Genuine bool
+	// Leaving tells that the target is about to leave.
+	Leaving bool
+}
--- /dev/null
+++ b/forwarder/forwarder.go
@@ -0,0 +1,158 @@
+package forwarder
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+
+	"buckthorndrum/clocker"
+	"buckthorndrum/exchanger"
+	"buckthorndrum/identifier"
+	"buckthorndrum/reporter"
+)
+
+// Config sets up a forwarder.
+type Config struct {
+	// Listen is where callers connect, as host:port.
+	Listen     string
+	Name       identifier.Router
+	DataCentre identifier.DataCentre
+	Dialect    Dialect
+	// Identify returns the id of the request that a target's answer belongs to.
+	Identify func(http.Header) string
+	// ProofAge is how old the proof may be that the configuration is the newest,
+	// for a key to be relied on. Zero asks for no proof.
+	ProofAge time.Duration
+	Retries  RetryBudget
+	Log      *zap.Logger
+}
+
+// Check reports the first setting that is missing or wrong.
+func (c Config) Check() error {
+	switch {
+	case c.Listen == "":
+		return errors.New("listen address is missing")
+	case c.Dialect == nil:
+		return errors.New("dialect is missing")
+	case c.Log == nil:
+		return errors.New("log is missing")
+	case c.Retries.Window < time.Second:
+		return errors.Errorf("window of the retry budget is %s, below 1s", c.Retries.Window)
+	}
+	return nil
+}
+
+const (
+	// dialTimeout bounds the opening of a connection to a target.
+	dialTimeout = 400 * time.Millisecond
+	// silentAfter is when a connection whose peer acknowledges nothing is lost.
+	silentAfter = 1500 * time.Millisecond
+	// maxIdle bounds the idle connections to one target.
+	maxIdle = 64
+	// headerTimeout bounds the reading of a caller's header.
+	headerTimeout = 10 * time.Second
+	// callerIdle is how long a caller's connection may be idle, if the
+	// configuration does not ask for longer.
+	callerIdle = 2 * time.Minute
+)
+
+// Forwarder is a running request path.
+type Forwarder struct {
+	cfg    Config
+	board  *board
+	pool   *exchanger.Pool
+	server *http.Server
+	log    *zap.Logger
+	ctx    context.Context
+	cancel context.CancelFunc
+	// done is closed when the forwarder has stopped.
+	done chan struct{}
+}
+
+// Start opens the callers' port and begins to serve.
+func Start(cfg Config) (*Forwarder, error) {
+	if err := cfg.Check(); err != nil {
+		return nil, errors.Wrap(err, "check forwarder settings")
+	}
+	l, err := net.Listen("tcp4", cfg.Listen)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listen for callers on %s", cfg.Listen)
+	}
+	f := &Forwarder{
+		cfg:   cfg,
+		board: newBoard(),
+		pool:  exchanger.New(exchanger.Config{DialTimeout: dialTimeout, SilentAfter: silentAfter, MaxIdle: maxIdle, Identify: cfg.Identify}),
+		log:   cfg.Log.Named("forwarder"),
+		done:  make(chan struct{}),
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.server = &http.Server{Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: callerIdle}
+	go f.serve(l)
+	go f.sweep()
+	f.log.Info("serving callers", zap.String("address", l.Addr().String()))
+	return f, nil
+}
+
+func (f *Forwarder) serve(l net.Listener) {
+	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		f.log.Error("callers' port lost", reporter.Error(err))
+	}
+}
+
+// sweep drops what has grown old until the forwarder stops.
+func (f *Forwarder) sweep() {
+	ticks := time.NewTicker(sweepEvery)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+			now := clocker.Now()
+			f.pool.Sweep(now)
+			f.board.mu.Lock()
+			f.board.admitter.Tick(now)
+			f.board.mu.Unlock()
+		case <-f.ctx.Done():
+			return
+		}
+	}
+}
+
+const (
+	// lingerNew is how long a stopping router goes on taking new requests, so
+	// that callers are sent elsewhere first.
+	lingerNew = 3 * time.Second
+	// idlePoll is how often a stopping router looks whether it is idle.
+	idlePoll = 20 * time.Millisecond
+)
+
+// Drain says that the router is not ready, goes on serving while callers are
+// sent elsewhere, waits for the requests in hand until ctx ends, and stops.
+func (f *Forwarder) Drain(ctx context.Context) error {
+	f.board.stopping.Store(true)
+	f.log.Info("stopping")
+	select {
+	case <-time.After(lingerNew):
+	case <-ctx.Done():
+	}
+	err := f.server.Shutdown(ctx)
+	f.Stop()
+	return errors.Wrap(err, "wait for requests in hand")
+}
+
+// Stop ends the forwarder at once.
+func (f *Forwarder) Stop() {
+	f.cancel()
+	_ = f.server.Close()
+	select {
+	case <-f.done:
+	default:
+		close(f.done)
+	}
+}
+
+// Done is closed when the forwarder has stopped.
+func (f *Forwarder) Done() <-chan struct{} { return f.done }
--- /dev/null
+++ b/forwarder/message.go
@@ -0,0 +1,65 @@
+package forwarder
+
+import (
+	"bytes"
+	"net/http"
+	"strconv"
+	"strings"
+
+	"buckthorndrum/clocker"
+	"buckthorndrum/exchanger"
+)
+
+// hopHeaders concern one connection only.
+var hopHeaders = []string{"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer", "Transfer-Encoding", "Upgrade"}
+
+// strip removes what concerns one connection only, and what the header itself
+// says does, but for what the dialect needs end to end.
+func strip(h http.Header) {
+	for _, list := range h["Connection"] {
+		for _, name := range strings.Split(list, ",") {
+			name = http.CanonicalHeaderKey(strings.TrimSpace(name))
+			if !strings.HasPrefix(name, "X-") && name != "Host" && name != "Content-Length" && name != "Content-Type" {
+				h.Del(name)
+			}
+		}
+	}
+	for _, name := range hopHeaders {
+		h.Del(name)
+	}
+}
+
+// message returns what is sent to target t.
+func (f *Forwarder) message(c *call, t *chosen) exchanger.Call {
+	h := c.r.Header.Clone()
+	strip(h)
+	h.Del("Expect")
+	h.Del("Content-Length")
+	h.Del("Authorization")
+	after := c.facts.After
+	if c.begun() && c.stream.last != "" {
+		after = c.stream.last
+	}
+	f.cfg.Dialect.Write(h, Sending{Target: t.choice.Target, Workspace: c.workspace, Left: c.deadline.Sub(clocker.Now()), After: after})
+	return exchanger.Call{
+		Address:    t.address,
+		Method:     c.r.Method,
+		Head:       head(c, h),
+		Body:       c.body,
+		ID:         string(c.facts.ID),
+		Repeatable: c.repeatable(),
+	}
+}
+
+// head encodes the request line and the header.
+func head(c *call, h http.Header) []byte {
+	var b bytes.Buffer
+	b.WriteString(c.r.Method + " " + target(c.r) + " HTTP/1.1\r\n")
+	b.WriteString("Host: " + c.r.Host + "\r\n")
+	if len(c.body) > 0 || c.r.ContentLength >= 0 && c.r.Method != http.MethodGet && c.r.Method != http.MethodHead {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(c.body)) + "\r\n")
+	}
+	_ = h.Write(&b)
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
--- /dev/null
+++ b/forwarder/snapshot.go
@@ -0,0 +1,170 @@
+package forwarder
+
+import (
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"buckthorndrum/admitter"
+	"buckthorndrum/identifier"
+)
+
+// Snapshot is one configuration in force. It does not change.
+type Snapshot struct {
+	Revision identifier.Revision
+	Limits   Limits
+	pools    map[identifier.Pool]Pool
+	keys     map[string]identifier.Workspace
+	ranks    map[identifier.Workspace]int
+	// routes are those of each host, the longest prefix first.
+	routes map[string][]*Route
+	// tightest is the shortest aim of a pool's routes.
+	tightest map[identifier.Pool]time.Duration
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	// MaxBody is in bytes, zero for the default.
+	MaxBody int64
+	// Idle is how long a caller's connection may be idle.
+	Idle time.Duration
+	// TokensPerSecond is what all engines together produce, zero if not known.
+	TokensPerSecond float64
+}
+
+// Route says what requests with a host and a path prefix are.
+type Route struct {
+	Kind   identifier.Kind
+	Host   string
+	Prefix string
+	// Repeatable tells that a request may run more than once.
+	Repeatable bool
+	// Stream tells that the answer is a series of events.
+	Stream bool
+	// Resumable tells that a broken stream may go on at another target.
+	Resumable bool
+	// Public tells that a request needs no key.
+	Public bool
+	// Timeout is the longest that a caller is kept waiting, zero for no limit.
+	Timeout time.Duration
+	// Aim is the time to the first part of the answer at which it is on time.
+	Aim time.Duration
+	// Urgency orders kinds, zero first.
+	Urgency int
+	// Attempts is the most targets that one request may run at.
+	Attempts int
+	// Split says which pools serve it, and with what weight.
+	Split []Share
+}
+
+// Share is a pool's part of a route's requests.
+type Share struct {
+	Pool   identifier.Pool
+	Weight int
+}
+
+// Pool is a set of targets that can stand in for one another.
+type Pool struct {
+	ID identifier.Pool
+	// Engine tells that its targets read prompts.
+	Engine bool
+	// Memory is an engine's, in tokens.
+	Memory int
+}
+
+// Workspace is a customer with its keys.
+type Workspace struct {
+	ID   identifier.Workspace
+	Keys []string
+	// Urgency goes before that of routes, zero first.
+	Urgency int
+}
+
+// NewSnapshot indexes a configuration.
+func NewSnapshot(r identifier.Revision, l Limits, routes []Route, pools []Pool, spaces []Workspace) *Snapshot {
+	s := &Snapshot{
+		Revision: r,
+		Limits:   l,
+		pools:    map[identifier.Pool]Pool{},
+		keys:     map[string]identifier.Workspace{},
+		ranks:    map[identifier.Workspace]int{},
+		routes:   map[string][]*Route{},
+		tightest: map[identifier.Pool]time.Duration{},
+	}
+	for _, p := range pools {
+		s.pools[p.ID] = p
+	}
+	for _, w := range spaces {
+		s.ranks[w.ID] = w.Urgency
+		for _, k := range w.Keys {
+			s.keys[k] = w.ID
+		}
+	}
+	for i := range routes {
+		s.addRoute(&routes[i])
+	}
+	for _, list := range s.routes {
+		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
+	}
+	return s
+}
+
+func (s *Snapshot) addRoute(r *Route) {
+	host := plainHost(r.Host)
+	s.routes[host] = append(s.routes[host], r)
+	for _, share := range r.Split {
+		if t, ok := s.tightest[share.Pool]; r.Aim > 0 && (!ok || r.Aim < t) {
+			s.tightest[share.Pool] = r.Aim
+		}
+	}
+}
+
+// Match returns the route of a request, or nil.
+func (s *Snapshot) Match(host, path string) *Route {
+	for _, r := range s.routes[plainHost(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// plainHost returns a host name without port and in lower case.
+func plainHost(host string) string {
+	if h, _, err := net.SplitHostPort(host); err == nil {
+		host = h
+	}
+	return strings.ToLower(host)
+}
+
+// WorkspaceOf returns the workspace that holds a key.
+func (s *Snapshot) WorkspaceOf(key string) (identifier.Workspace, bool) {
+	w, ok := s.keys[key]
+	return w, ok && key != ""
+}
+
+// pick returns the pool for a request, by weight; n is a random number.
+func (r *Route) pick(n uint64) (identifier.Pool, bool) {
+	total := 0
+	for _, s := range r.Split {
+		total += s.Weight
+	}
+	if total <= 0 {
+		return "", false
+	}
+	at := int(n % uint64(total))
+	for _, s := range r.Split {
+		if at < s.Weight {
+			return s.Pool, true
+		}
+		at -= s.Weight
+	}
+	return "", false
+}
+
+// Target is a target with the address at which it is reached.
+type Target struct {
+	admitter.Target
+	Address string
+}
--- /dev/null
+++ b/sharer/sharer.go
@@ -0,0 +1,169 @@
+package sharer
+
+import (
+	"math"
+	"sort"
+	"time"
+
+	"buckthorndrum/identifier"
+)
+
+// Rates are what one workspace asked for and was given, in tokens a second.
+type Rates struct {
+	_     struct{} `cbor:",toarray"`
+	Asked float64
+	Given float64
+}
+
+// Sharer is one router's view of the workspaces' rates. It is not safe for
+// concurrent use.
+type Sharer struct {
+	// capacity is what is shared, in tokens a second, zero for no limit.
+	capacity float64
+	own      map[identifier.Workspace]*usage
+	peers    map[identifier.Router]*peer
+	// level is the share of each workspace that asks for more, in tokens a
+	// second, worked out at the instant worked.
+	level  float64
+	worked identifier.Instant
+}
+
+type usage struct{ asked, given rate }
+
+// peer is what another router said last.
+type peer struct {
+	rates map[identifier.Workspace]Rates
+	heard identifier.Instant
+}
+
+const (
+	// peerLife is how long a peer's rates count.
+	peerLife = 2 * time.Second
+	// workEvery is how often the level is worked out.
+	workEvery = 100 * time.Millisecond
+)
+
+// New returns a sharer without a limit.
+func New() *Sharer {
+	return &Sharer{own: map[identifier.Workspace]*usage{}, peers: map[identifier.Router]*peer{}, level: math.Inf(1)}
+}
+
+// SetCapacity replaces the rate that is shared, in tokens a second; zero is no
+// limit.
+func (s *Sharer) SetCapacity(c float64) { s.capacity = c }
+
+// Asked notes that workspace w asks for tokens.
+func (s *Sharer) Asked(now identifier.Instant, w identifier.Workspace, tokens int) {
+	s.usage(w).asked.add(now, float64(tokens))
+}
+
+// Given notes that a request of workspace w for tokens was sent to a target.
+func (s *Sharer) Given(now identifier.Instant, w identifier.Workspace, tokens int) {
+	s.usage(w).given.add(now, float64(tokens))
+}
+
+func (s *Sharer) usage(w identifier.Workspace) *usage {
+	u := s.own[w]
+	if u == nil {
+		u = &usage{}
+		s.own[w] = u
+	}
+	return u
+}
+
+// Own returns the rates that this router has seen itself, for its peers.
+func (s *Sharer) Own(now identifier.Instant) map[identifier.Workspace]Rates {
+	rates := make(map[identifier.Workspace]Rates, len(s.own))
+	for w, u := range s.own {
+		r := Rates{Asked: u.asked.perSecond(now), Given: u.given.perSecond(now)}
+		if r.Asked == 0 && r.Given == 0 {
+			delete(s.own, w)
+			continue
+		}
+		rates[w] = r
+	}
+	return rates
+}
+
+// Heard notes the rates that peer p has seen.
+func (s *Sharer) Heard(now identifier.Instant, p identifier.Router, rates map[identifier.Workspace]Rates) {
+	s.peers[p] = &peer{rates: rates, heard: now}
+}
+
+// Within tells whether workspace w has been given less than its share.
+func (s *Sharer) Within(now identifier.Instant, w identifier.Workspace) bool {
+	if s.worked == 0 || now.Sub(s.worked) >= workEvery {
+		s.work(now)
+	}
+	if math.IsInf(s.level, 1) {
+		return true
+	}
+	return s.total(now, w).Given < s.level
+}
+
+// Level returns the share of a workspace that asks for more, in tokens a second,
+// infinite if nobody does.
+func (s *Sharer) Level(now identifier.Instant) float64 {
+	s.work(now)
+	return s.level
+}
+
+func (s *Sharer) total(now identifier.Instant, w identifier.Workspace) Rates {
+	var sum Rates
+	if u := s.own[w]; u != nil {
+		sum = Rates{Asked: u.asked.perSecond(now), Given: u.given.perSecond(now)}
+	}
+	for _, p := range s.peers {
+		r := p.rates[w]
+		sum.Asked += r.Asked
+		sum.Given += r.Given
+	}
+	return sum
+}
+
+// work finds the level at which the shares of all workspaces fill the capacity.
+func (s *Sharer) work(now identifier.Instant) {
+	s.worked = now
+	for id, p := range s.peers {
+		if now.Sub(p.heard) > peerLife {
+			delete(s.peers, id)
+		}
+	}
+	s.level = math.Inf(1)
+	if s.capacity <= 0 {
+		return
+	}
+	s.level = fill(s.asked(now), s.capacity)
+}
+
+// asked returns what each workspace asks for, in tokens a second.
+func (s *Sharer) asked(now identifier.Instant) []float64 {
+	spaces := map[identifier.Workspace]bool{}
+	for w := range s.own {
+		spaces[w] = true
+	}
+	for _, p := range s.peers {
+		for w := range p.rates {
+			spaces[w] = true
+		}
+	}
+	asked := make([]float64, 0, len(spaces))
+	for w := range spaces {
+		asked = append(asked, s.total(now, w).Asked)
+	}
+	return asked
+}
+
+// fill returns the max-min level of the rates asked within the capacity, and
+// infinity if all fit.
+func fill(asked []float64, capacity float64) float64 {
+	sort.Float64s(asked)
+	for i, a := range asked {
+		even := capacity / float64(len(asked)-i)
+		if a > even {
+			return even
+		}
+		capacity -= a
+	}
+	return math.Inf(1)
+}
