--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -21,6 +21,8 @@
 	Output int
 	// Limit is the longest time to the first token at which it is still sent.
 	Limit time.Duration
+	// Within tells that its workspace has had less than its share.
+	Within bool
 	// Size is the memory of one target in tokens, zero if it is not known.
 	Size int
 	// Avoid are the targets that it was sent to before.
@@ -73,7 +75,7 @@
 	for _, t := range list {
 		s := a.targets[t.ID]
 		if s == nil || s.Start != t.Start {
-			s = &state{peers: map[identifier.Router]Load{}, parts: held{}, speed: a.usualSpeed(t.Pool)}
+			s = &state{peers: map[identifier.Router]Load{}, parts: held{}, pace: a.usualPace(t.Pool)}
 		}
 		s.Target = t
 		next[t.ID] = s
@@ -82,19 +84,21 @@
 	a.targets = next
 }
 
-// usualSpeed returns the mean speed of a pool's targets.
-func (a *Admitter) usualSpeed(p identifier.Pool) float64 {
-	sum, n := 0.0, 0
+// usualPace returns the mean pace of a pool's targets.
+func (a *Admitter) usualPace(p identifier.Pool) pace {
+	var sum pace
+	n := 0
 	for _, t := range a.targets {
 		if t.Pool == p {
-			sum += t.speed
+			sum.base += t.pace.base
+			sum.slope += t.pace.slope
 			n++
 		}
 	}
 	if n == 0 {
-		return initialSpeed
+		return pace{base: initialBase, slope: initialSlope}
 	}
-	return sum / float64(n)
+	return pace{base: sum.base / time.Duration(n), slope: sum.slope / float64(n)}
 }
 
 // Choose returns the target for a request, and notes nothing.
@@ -213,7 +217,7 @@
 	}
 	s.read = true
 	t.own.Unread -= s.load.Unread
-	t.learn(s.ahead, now.Sub(s.at))
+	t.pace.learn(s.ahead, now.Sub(s.at))
 	s.load.Unread = 0
 }
 
--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -10,7 +10,15 @@
 const (
 	// rereadWeight is how much the time in which shared parts are read again
 	// counts beyond the wait itself, since it is taken from all requests.
-	rereadWeight = 3
+	rereadWeight = 10
+	// usualRead is the tokens from which on a request delays those behind it
+	// more than it is delayed itself.
+	usualRead = 2000
+	// longAhead is the part of the limit, in percent, that may be ahead of a
+	// request that takes long to read.
+	longAhead = 40
+	// firstHomes is how many targets requests that share a part go to at first.
+	firstHomes = 3
 	// memoryShare is the part of a target's memory that running requests may
 	// come to fill. The rest is for shared parts.
 	memoryShare = 0.8
@@ -21,35 +29,57 @@
 	state  *state
 	load   Load
 	unread int
-	wait   time.Duration
-	cost   time.Duration
+	// again is how many of these are shared and read elsewhere before.
+	again int
+	// ahead is the time in which others' tokens are read, own its own, and wait
+	// the time to its first token.
+	ahead time.Duration
+	own   time.Duration
+	wait  time.Duration
+	cost  time.Duration
 }
 
 // engine picks the target of a model engine's pool at which the request costs
 // least: its wait there, and the shared parts that would have to be read again.
+// It goes beyond its first homes only if none of them has room.
 func (a *Admitter) engine(now identifier.Instant, list []*state, q Ask) Choice {
 	keys := chainKeys(q.Model, q.Chain)
 	homes(list, keys, q.Seed)
-	var best *option
+	options := make([]option, len(list))
 	soonest := time.Duration(-1)
 	for rank, t := range list {
-		o := a.weigh(now, t, q, keys, rank)
-		if soonest < 0 || o.wait < soonest {
-			soonest = o.wait
-		}
-		if !fits(o, q) {
-			continue
-		}
-		if best == nil || o.cost < best.cost {
-			best = &o
+		options[rank] = a.weigh(now, t, q, keys, rank)
+		if soonest < 0 || options[rank].wait < soonest {
+			soonest = options[rank].wait
 		}
 	}
+	near := min(len(options), firstHomes)
+	best := cheapest(options[:near], q)
+	if best == nil && q.Within {
+		best = cheapest(options[near:], q)
+	}
 	if best == nil {
 		return Choice{Refused: Busy, Wait: soonest}
 	}
 	return Choice{Target: best.state.ID, Wait: best.wait, Unread: best.unread}
 }
 
+// cheapest returns the option of least cost that has room, or nil. A request
+// beyond its workspace's share goes only where its shared parts are held.
+func cheapest(options []option, q Ask) *option {
+	var best *option
+	for i := range options {
+		o := &options[i]
+		if !fits(*o, q) || (!q.Within && o.again > 0) {
+			continue
+		}
+		if best == nil || o.cost < best.cost {
+			best = o
+		}
+	}
+	return best
+}
+
 // homes orders targets by a hash of the last shared part, so that all routers
 // send requests that share it to the same ones.
 func homes(list []*state, keys []chainKey, seed uint64) {
@@ -72,8 +102,11 @@
 		// The peers send there too, so that it holds the parts or soon will.
 		o.unread = least
 	}
-	o.wait = t.wait(o.load.Unread + o.unread)
-	o.cost = o.wait + rereadWeight*t.wait(o.unread-least)
+	o.again = o.unread - least
+	o.ahead = t.pace.read(o.load.Unread)
+	o.own = t.pace.read(o.unread)
+	o.wait = t.pace.base + o.ahead + o.own
+	o.cost = o.ahead + time.Duration(float64(o.ahead)*float64(o.unread)/usualRead) + rereadWeight*t.pace.read(o.again)
 	return o
 }
 
@@ -96,5 +129,9 @@
 	if q.Size > 0 && o.load.Memory > 0 && o.load.Memory+q.Prompt+q.Output > int(memoryShare*float64(q.Size)) {
 		return false
 	}
+	if o.own > q.Limit/2 {
+		// It delays all others, and is late or nearly so wherever it goes.
+		return o.ahead <= longAhead*q.Limit/100
+	}
 	return o.load.Unread == 0 || o.wait <= q.Limit
 }
--- a/admitter/target.go
+++ b/admitter/target.go
@@ -42,8 +42,7 @@
 	own   Load
 	peers map[identifier.Router]Load
 	parts held
-	// speed is how many prompt tokens it reads in a millisecond.
-	speed float64
+	pace  pace
 	// shunned is until when it gets no work, and faults how many failures came in
 	// a row.
 	shunned identifier.Instant
@@ -63,30 +62,49 @@
 	return sum
 }
 
-// wait returns how long the target takes to read so many tokens.
-func (t *state) wait(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / t.speed * float64(time.Millisecond))
+// pace is how a target reads prompts: the time to a first token is base plus
+// slope for each token ahead.
+type pace struct {
+	base time.Duration
+	// slope is in nanoseconds a token.
+	slope float64
 }
 
 const (
-	// initialSpeed is the reading speed assumed of a target that has shown none,
-	// in tokens a millisecond.
-	initialSpeed = 60
-	minSpeed     = 10
-	maxSpeed     = 1000
-	// speedWeight is the weight of one observation.
-	speedWeight = 0.05
-	// minRead is the least tokens whose reading shows a speed.
-	minRead = 1000
+	// initialBase and initialSlope are assumed of a target that has shown none.
+	initialBase  = 50 * time.Millisecond
+	initialSlope = 12_000
+	// shortRead and longRead are the tokens up to which the base shows, and from
+	// which the slope does.
+	shortRead = 800
+	longRead  = 2500
+	// paceStep is the part by which one observation moves an estimate.
+	paceStep = 0.04
+	// paceQuantile is the share of observations below the estimates. It is low,
+	// as what is not known of others' requests makes the rest look slow.
+	paceQuantile = 0.35
 )
 
-// learn takes in that so many tokens were read in that time.
-func (t *state) learn(tokens int, took time.Duration) {
-	if tokens < minRead || took <= 0 {
-		return
+// read returns the time in which so many tokens are read.
+func (p pace) read(tokens int) time.Duration { return time.Duration(p.slope * float64(tokens)) }
+
+// learn takes in that a first token came after took with so many tokens ahead.
+func (p *pace) learn(tokens int, took time.Duration) {
+	switch {
+	case tokens <= shortRead:
+		took -= p.read(tokens)
+		p.base = time.Duration(toward(float64(p.base), float64(took)))
+	case tokens >= longRead:
+		p.slope = toward(p.slope, float64(took-p.base)/float64(tokens))
+	}
+}
+
+// toward moves an estimate of a low quantile by one observation.
+func toward(estimate, seen float64) float64 {
+	if seen > estimate {
+		return estimate * (1 + paceStep*paceQuantile)
 	}
-	seen := float64(tokens) / (float64(took) / float64(time.Millisecond))
-	t.speed = min(maxSpeed, max(minSpeed, t.speed+(seen-t.speed)*speedWeight))
+	return estimate * (1 - paceStep*(1-paceQuantile))
 }
 
 const (
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -223,7 +223,8 @@
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
 	within := q.Model == "" || f.board.sharer.Within(now, c.workspace)
-	q.Limit = limit(s.tightest[c.pool], within || c.runs > 0)
+	q.Within = within || c.runs > 0
+	q.Limit = limit(s.tightest[c.pool], q.Within)
 	choice := f.board.admitter.Choose(now, q)
 	if choice.Refused != "" {
 		return nil, f.refused(c, choice, within)
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -11,8 +11,8 @@
 // Rates are what one workspace asked for and was given, in tokens a second.
 type Rates struct {
 	_     struct{} `cbor:",toarray"`
-	Asked float64
-	Given float64
+	Asked int
+	Given int
 }
 
 // Sharer is one router's view of the workspaces' rates. It is not safe for
@@ -71,11 +71,15 @@
 	return u
 }
 
+func (u *usage) rates(now identifier.Instant) Rates {
+	return Rates{Asked: int(u.asked.perSecond(now)), Given: int(u.given.perSecond(now))}
+}
+
 // Own returns the rates that this router has seen itself, for its peers.
 func (s *Sharer) Own(now identifier.Instant) map[identifier.Workspace]Rates {
 	rates := make(map[identifier.Workspace]Rates, len(s.own))
 	for w, u := range s.own {
-		r := Rates{Asked: u.asked.perSecond(now), Given: u.given.perSecond(now)}
+		r := u.rates(now)
 		if r.Asked == 0 && r.Given == 0 {
 			delete(s.own, w)
 			continue
@@ -98,7 +102,7 @@
 	if math.IsInf(s.level, 1) {
 		return true
 	}
-	return s.total(now, w).Given < s.level
+	return float64(s.total(now, w).Given) < s.level
 }
 
 // Level returns the share of a workspace that asks for more, in tokens a second,
@@ -111,7 +115,7 @@
 func (s *Sharer) total(now identifier.Instant, w identifier.Workspace) Rates {
 	var sum Rates
 	if u := s.own[w]; u != nil {
-		sum = Rates{Asked: u.asked.perSecond(now), Given: u.given.perSecond(now)}
+		sum = u.rates(now)
 	}
 	for _, p := range s.peers {
 		r := p.rates[w]
@@ -149,7 +153,7 @@
 	}
 	asked := make([]float64, 0, len(spaces))
 	for w := range spaces {
-		asked = append(asked, s.total(now, w).Asked)
+		asked = append(asked, float64(s.total(now, w).Asked))
 	}
 	return asked
 }
