forwarder: let the limit of a request fall with what its workspace had beyond its share

Change: the time to the first token at which a request is still sent is its own aim times the share of its workspace over what it was given. Beyond the share, shared parts are read again only where the pool has spare capacity. Conclusion: max-min has to be gradual, as the engines can do more than the stated rate.

--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -17,6 +17,9 @@
 	// longAhead is the part of the limit, in percent, that may be ahead of a
 	// request that takes long to read.
 	longAhead = 40
+	// spareShare is the part of the limit, in percent, up to which the targets of
+	// a pool may be busy on the average to count as having spare capacity.
+	spareShare = 10
 	// firstHomes is how many targets requests that share a part go to at first.
 	firstHomes = 3
 	// memoryShare is the part of a target's memory that running requests may
@@ -54,9 +57,10 @@
 		}
 	}
 	near := min(len(options), firstHomes)
-	best := cheapest(options[:near], q)
+	spare := q.Within || hasSpare(options, q)
+	best := cheapest(options[:near], q, spare)
 	if best == nil && q.Within {
-		best = cheapest(options[near:], q)
+		best = cheapest(options[near:], q, spare)
 	}
 	if best == nil {
 		return Choice{Refused: Busy, Wait: soonest}
@@ -64,13 +68,22 @@
 	return Choice{Target: best.state.ID, Wait: best.wait, Unread: best.unread}
 }
 
-// cheapest returns the option of least cost that has room, or nil. A request
-// beyond its workspace's share goes only where its shared parts are held.
-func cheapest(options []option, q Ask) *option {
+// hasSpare tells whether the pool's targets have little to read.
+func hasSpare(options []option, q Ask) bool {
+	var sum time.Duration
+	for _, o := range options {
+		sum += o.ahead
+	}
+	return sum/time.Duration(len(options)) <= spareShare*q.Limit/100
+}
+
+// cheapest returns the option of least cost that has room, or nil. Without spare
+// capacity only those count that hold the shared parts.
+func cheapest(options []option, q Ask, spare bool) *option {
 	var best *option
 	for i := range options {
 		o := &options[i]
-		if !fits(*o, q) || (!q.Within && o.again > 0) {
+		if !fits(*o, q) || (!spare && o.again > 0) {
 			continue
 		}
 		if best == nil || o.cost < best.cost {
--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -15,6 +15,8 @@
 	// snapshot is the configuration in force, nil before the first. Its revision
 	// only rises.
 	snapshot atomic.Pointer[Snapshot]
+	// tunables are the settings in force. It is never nil.
+	tunables atomic.Pointer[Tunables]
 	// proved is when the snapshot was last known to be the newest, as an Instant.
 	proved atomic.Int64
 	// stopping tells that the process is to end.
@@ -31,13 +33,15 @@
 	calls int
 }
 
-func newBoard() *board {
-	return &board{
+func newBoard(t Tunables) *board {
+	b := &board{
 		admitter:  admitter.New(),
 		sharer:    sharer.New(),
 		addresses: map[identifier.Target]string{},
 		budgets:   map[identifier.Pool]*budget{},
 	}
+	b.tunables.Store(&t)
+	return b
 }
 
 // Adopt puts a configuration in force unless a newer one is, and tells whether
@@ -99,11 +103,12 @@
 
 // fresh tells whether a key may still be relied on.
 func (f *Forwarder) fresh(now identifier.Instant) bool {
-	if f.cfg.ProofAge <= 0 {
+	age := f.board.tunables.Load().ProofAge
+	if age <= 0 {
 		return true
 	}
 	proved := identifier.Instant(f.board.proved.Load())
-	return proved > 0 && now.Sub(proved) <= f.cfg.ProofAge
+	return proved > 0 && now.Sub(proved) <= age
 }
 
 // Summary is what routers tell each other.
--- a/forwarder/budget.go
+++ b/forwarder/budget.go
@@ -67,14 +67,14 @@
 func (f *Forwarder) countRequest(now identifier.Instant, p identifier.Pool) {
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
-	f.budgetOf(p).request(now, f.cfg.Retries)
+	f.budgetOf(p).request(now, f.board.tunables.Load().Retries)
 }
 
 // mayRetry takes one retry of a pool from the budget.
 func (f *Forwarder) mayRetry(now identifier.Instant, p identifier.Pool) bool {
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
-	return f.budgetOf(p).retry(now, f.cfg.Retries, f.board.peers+1)
+	return f.budgetOf(p).retry(now, f.board.tunables.Load().Retries, f.board.peers+1)
 }
 
 func (f *Forwarder) budgetOf(p identifier.Pool) *budget {
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -197,12 +197,10 @@
 // size returns the request's part of the engines' rate, in tokens.
 func (c *call) size() int { return c.facts.Prompt + generatedWeight*c.facts.Output }
 
-// Parts of the tightest aim of a pool within which the first token is expected
-// for a request to be sent: of a workspace within its share, and beyond it.
-const (
-	withinShare = 0.8
-	beyondShare = 0.25
-)
+// aimShare is the part of a request's aim within which its first token is
+// expected for it to be sent, if its workspace is within its share. Beyond the
+// share it is less, so that those who had most wait first.
+const aimShare = 0.8
 
 // chosen is a target that was picked for a request.
 type chosen struct {
@@ -222,12 +220,15 @@
 	}
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
-	within := q.Model == "" || f.board.sharer.Within(now, c.workspace)
-	q.Within = within || c.runs > 0
-	q.Limit = limit(s.tightest[c.pool], q.Within)
+	standing := 1.0
+	if q.Model != "" && c.runs == 0 {
+		standing = f.board.sharer.Standing(now, c.workspace)
+	}
+	q.Within = standing >= 1
+	q.Limit = limit(c.route.Aim, standing)
 	choice := f.board.admitter.Choose(now, q)
 	if choice.Refused != "" {
-		return nil, f.refused(c, choice, within)
+		return nil, f.refused(c, choice, standing)
 	}
 	if q.Model != "" && c.runs == 0 {
 		f.board.sharer.Given(now, c.workspace, c.size())
@@ -235,14 +236,14 @@
 	return &chosen{choice: choice, ask: q, address: f.board.addresses[choice.Target], sent: f.board.admitter.Send(now, q, choice)}, nil
 }
 
-func limit(tightest time.Duration, within bool) time.Duration {
-	if tightest <= 0 {
-		tightest = time.Second
-	}
-	if within {
-		return time.Duration(withinShare * float64(tightest))
+// defaultAim is the aim of a route that states none.
+const defaultAim = time.Second
+
+func limit(aim time.Duration, standing float64) time.Duration {
+	if aim <= 0 {
+		aim = defaultAim
 	}
-	return time.Duration(beyondShare * float64(tightest))
+	return time.Duration(aimShare * standing * float64(aim))
 }
 
 const (
@@ -252,14 +253,11 @@
 )
 
 // refused is the ending of a request for which no target has room.
-func (f *Forwarder) refused(c *call, choice admitter.Choice, within bool) *ending {
+func (f *Forwarder) refused(c *call, choice admitter.Choice, standing float64) *ending {
 	after := choice.Wait
-	if !within {
-		after = max(after, time.Second)
-	}
 	after = min(max(after, minRetryAfter), maxRetryAfter)
 	after += time.Duration(rand.Float64() * float64(after) / 2)
 	f.log.Info("request refused", zap.String("request", string(c.facts.ID)), zap.String("reason", string(choice.Refused)),
-		zap.Bool("within_share", within), zap.Duration("wait", choice.Wait), zap.String("workspace", string(c.workspace)))
+		zap.Float64("standing", standing), zap.Duration("wait", choice.Wait), zap.String("workspace", string(c.workspace)))
 	return &ending{status: http.StatusServiceUnavailable, reason: "All targets are busy.", retryAfter: after}
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,11 +24,24 @@
 	Dialect    Dialect
 	// Identify returns the id of the request that a target's answer belongs to.
 	Identify func(http.Header) string
+	Tunables
+	Log *zap.Logger
+}
+
+// Tunables are the settings that may change while the process runs.
+type Tunables struct {
 	// ProofAge is how old the proof may be that the configuration is the newest,
 	// for a key to be relied on. Zero asks for no proof.
 	ProofAge time.Duration
 	Retries  RetryBudget
-	Log      *zap.Logger
+}
+
+// check reports the first tunable that is wrong.
+func (t Tunables) check() error {
+	if t.Retries.Window < time.Second {
+		return errors.Errorf("window of the retry budget is %s, below 1s", t.Retries.Window)
+	}
+	return nil
 }
 
 // Check reports the first setting that is missing or wrong.
@@ -40,10 +53,8 @@
 		return errors.New("dialect is missing")
 	case c.Log == nil:
 		return errors.New("log is missing")
-	case c.Retries.Window < time.Second:
-		return errors.Errorf("window of the retry budget is %s, below 1s", c.Retries.Window)
 	}
-	return nil
+	return c.check()
 }
 
 const (
@@ -84,7 +95,7 @@
 	}
 	f := &Forwarder{
 		cfg:   cfg,
-		board: newBoard(),
+		board: newBoard(cfg.Tunables),
 		pool:  exchanger.New(exchanger.Config{DialTimeout: dialTimeout, SilentAfter: silentAfter, MaxIdle: maxIdle, Identify: cfg.Identify}),
 		log:   cfg.Log.Named("forwarder"),
 		done:  make(chan struct{}),
@@ -154,5 +165,14 @@
 	}
 }
 
+// Tune replaces the settings that may change. Wrong ones change nothing.
+func (f *Forwarder) Tune(t Tunables) error {
+	if err := t.check(); err != nil {
+		return errors.Wrap(err, "check new settings")
+	}
+	f.board.tunables.Store(&t)
+	return nil
+}
+
 // Done is closed when the forwarder has stopped.
 func (f *Forwarder) Done() <-chan struct{} { return f.done }
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -94,15 +94,17 @@
 	s.peers[p] = &peer{rates: rates, heard: now}
 }
 
-// Within tells whether workspace w has been given less than its share.
-func (s *Sharer) Within(now identifier.Instant, w identifier.Workspace) bool {
+// Standing returns 1 for a workspace that has been given no more than its share,
+// and less the more it has been given beyond: its share as a part of that.
+func (s *Sharer) Standing(now identifier.Instant, w identifier.Workspace) float64 {
 	if s.worked == 0 || now.Sub(s.worked) >= workEvery {
 		s.work(now)
 	}
-	if math.IsInf(s.level, 1) {
-		return true
+	given := float64(s.total(now, w).Given)
+	if given <= s.level {
+		return 1
 	}
-	return float64(s.total(now, w).Given) < s.level
+	return s.level / given
 }
 
 // Level returns the share of a workspace that asks for more, in tokens a second,
