--- /dev/null
+++ b/admitter/admitter_test.go
@@ -0,0 +1,238 @@
+package admitter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"buckthorndrum/identifier"
+)
+
+const second = identifier.Instant(time.Second)
+
+// engines returns an admitter with n engines.
+func engines(n int) *Admitter {
+	a := New()
+	list := make([]Target, n)
+	for i := range list {
+		list[i] = Target{ID: identifier.Target(fmt.Sprintf("e%d", i)), Pool: "p", Slots: 8}
+	}
+	a.SetTargets(list)
+	return a
+}
+
+// ask is a request with shared parts s and s+100, and 500 tokens of its own.
+func ask(s uint64) Ask {
+	return Ask{Pool: "p", Model: "m", Prompt: 3000, Output: 100, Limit: time.Second, Within: true,
+		Chain: []Part{{s + 100, 500}, {s, 2000}, {s + 1000, 500}}}
+}
+
+func TestSharedPartsStayAtTheirHome(t *testing.T) {
+	g := NewWithT(t)
+	routers := []*Admitter{engines(5), engines(5)}
+	for s := uint64(0); s < 20; s++ {
+		home := routers[0].Choose(second, ask(s)).Target
+		for _, a := range routers {
+			c := a.Choose(second, ask(s))
+			g.Expect(c.Target).To(Equal(home), "all routers choose the same home")
+			a.Ended(second, a.Send(second, ask(s), c), Answered)
+			g.Expect(a.Choose(second, ask(s)).Unread).To(Equal(500))
+		}
+	}
+}
+
+// A queue at the home is cheaper than reading the shared parts again, up to a
+// point.
+func TestSpillsOnlyWhereItPays(t *testing.T) {
+	g := NewWithT(t)
+	a := engines(5)
+	home := a.Choose(second, ask(1)).Target
+	for _, c := range []struct {
+		unread int
+		stays  bool
+	}{{0, true}, {2000, true}, {80000, false}} {
+		a.Heard(second, "peer", map[identifier.Target]Load{home: {Running: 1, Unread: c.unread}})
+		g.Expect(a.Choose(second, ask(1)).Target == home).To(Equal(c.stays), "with %d tokens ahead", c.unread)
+	}
+}
+
+func TestSpillGoesToTheFirstHomes(t *testing.T) {
+	g := NewWithT(t)
+	a := engines(12)
+	list := append([]*state(nil), a.pools["p"]...)
+	homes(list, chainKeys("m", ask(1).Chain), 0)
+	load := map[identifier.Target]Load{list[0].ID: {Running: 8}}
+	a.Heard(second, "peer", load)
+	g.Expect([]identifier.Target{list[1].ID, list[2].ID}).To(ContainElement(a.Choose(second, ask(1)).Target))
+	for _, t := range list[:firstHomes] {
+		load[t.ID] = Load{Running: 8}
+	}
+	a.Heard(second, "peer", load)
+	g.Expect(a.Choose(second, ask(1)).Refused).To(BeEmpty(), "within the share it goes further")
+	q := ask(1)
+	q.Within = false
+	g.Expect(a.Choose(second, q).Refused).To(Equal(Busy))
+}
+
+// What is beyond the share reads nothing again unless there is room to spare.
+func TestBeyondTheShareNothingIsReadAgainUnderLoad(t *testing.T) {
+	g := NewWithT(t)
+	a := engines(3)
+	q := ask(1)
+	q.Within = false
+	home := a.Choose(second, q).Target
+	load := map[identifier.Target]Load{home: {Running: 8}}
+	a.Heard(second, "peer", load)
+	g.Expect(a.Choose(second, q).Refused).To(BeEmpty(), "the others are idle")
+	for id := range a.targets {
+		if id != home {
+			load[id] = Load{Running: 1, Unread: 20000}
+		}
+	}
+	a.Heard(second, "peer", load)
+	g.Expect(a.Choose(second, q).Refused).To(Equal(Busy))
+	q.Within = true
+	g.Expect(a.Choose(second, q).Refused).To(BeEmpty())
+}
+
+func TestRefusesWhatCannotBeOnTime(t *testing.T) {
+	g := NewWithT(t)
+	a := engines(2)
+	a.Heard(second, "peer", map[identifier.Target]Load{"e0": {Running: 2, Unread: 200000}, "e1": {Running: 2, Unread: 150000}})
+	c := a.Choose(second, ask(1))
+	g.Expect(c.Refused).To(Equal(Busy))
+	g.Expect(c.Wait).To(BeNumerically(">", time.Second), "and says how long the sooner one takes")
+}
+
+func TestTargetsThatLeaveGetNoWork(t *testing.T) {
+	g := NewWithT(t)
+	a := New()
+	a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Leaving: true}, {ID: "e1", Pool: "p", Slots: 4}})
+	for s := uint64(0); s < 20; s++ {
+		g.Expect(a.Choose(second, ask(s)).Target).To(BeEquivalentTo("e1"))
+	}
+	a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Leaving: true}})
+	g.Expect(a.Choose(second, ask(1)).Refused).To(Equal(NoTarget))
+}
+
+func TestTargetThatStartedAnewHoldsNothing(t *testing.T) {
+	g := NewWithT(t)
+	a := New()
+	a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Start: 1}})
+	a.Ended(second, a.Send(second, ask(1), a.Choose(second, ask(1))), Answered)
+	g.Expect(a.targets["e0"].parts).NotTo(BeEmpty())
+	a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Start: 1}})
+	g.Expect(a.targets["e0"].parts).NotTo(BeEmpty())
+	a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Start: 2}})
+	g.Expect(a.targets["e0"].parts).To(BeEmpty())
+}
+
+func TestBrokenConnectionsShunATarget(t *testing.T) {
+	g := NewWithT(t)
+	a := engines(2)
+	home := a.Choose(second, ask(1)).Target
+	a.Ended(second, a.Send(second, ask(1), a.Choose(second, ask(1))), Broken)
+	g.Expect(a.Choose(second, ask(1)).Target).NotTo(Equal(home))
+	g.Expect(a.Choose(second.Add(shunFirst), ask(1)).Target).To(Equal(home))
+}
+
+// A target that fails part of its requests with a good health is found from its
+// answers, and tried again now and then.
+func TestFailingTargetIsTriedNowAndThen(t *testing.T) {
+	g := NewWithT(t)
+	a := engines(3)
+	bad := a.targets["e0"]
+	now := second
+	for i := 0; i < 20; i++ {
+		bad.answered(true)
+	}
+	bad.tried = now
+	for s := uint64(0); s < 20; s++ {
+		g.Expect(a.Choose(now, ask(s)).Target).NotTo(BeEquivalentTo("e0"))
+	}
+	now = now.Add(tryEvery + time.Millisecond)
+	var tried bool
+	for s := uint64(0); s < 20; s++ {
+		tried = tried || a.Choose(now, ask(s)).Target == "e0"
+	}
+	g.Expect(tried).To(BeTrue())
+	for i := 0; i < 40; i++ {
+		bad.answered(false)
+	}
+	g.Expect(bad.failing).To(BeNumerically("<", failMost))
+}
+
+func TestPaceIsLearnt(t *testing.T) {
+	g := NewWithT(t)
+	p := pace{base: initialBase, slope: initialSlope}
+	for i := 0; i < 400; i++ {
+		p.learn(100, 80*time.Millisecond+p.read(100))
+		p.learn(10000, 80*time.Millisecond+200*time.Millisecond)
+	}
+	g.Expect(p.base).To(BeNumerically("~", 80*time.Millisecond, 8*time.Millisecond))
+	g.Expect(p.read(10000)).To(BeNumerically("~", 200*time.Millisecond, 20*time.Millisecond))
+}
+
+func TestSilentPeersAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	a := engines(2)
+	a.Heard(second, "peer", map[identifier.Target]Load{"e0": {Running: 3}})
+	g.Expect(a.targets["e0"].load().Running).To(Equal(3))
+	a.Tick(second.Add(2 * peerLife))
+	g.Expect(a.targets["e0"].load().Running).To(BeZero())
+}
+
+// Whatever happens, what is under way is never negative and ends at nothing.
+func TestLoadsAddUp(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a := engines(rapid.IntRange(1, 5).Draw(t, "engines"))
+		now := second
+		var open []*Sent
+		for i := 0; i < 60; i++ {
+			now = now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "step")) * time.Millisecond)
+			q := ask(uint64(rapid.IntRange(0, 5).Draw(t, "part")))
+			if c := a.Choose(now, q); c.Refused == "" && rapid.Bool().Draw(t, "send") {
+				open = append(open, a.Send(now, q, c))
+			}
+			if len(open) == 0 {
+				continue
+			}
+			n := rapid.IntRange(0, len(open)-1).Draw(t, "which")
+			if rapid.Bool().Draw(t, "began") {
+				a.Began(now, open[n])
+				continue
+			}
+			a.Ended(now, open[n], Result(rapid.IntRange(0, 3).Draw(t, "result")))
+			open = append(open[:n], open[n+1:]...)
+			for id, l := range a.Own() {
+				if l.Running < 0 || l.Unread < 0 || l.Memory < 0 {
+					t.Fatalf("load of %s is %+v", id, l)
+				}
+			}
+		}
+		for _, s := range open {
+			a.Ended(now, s, Answered)
+		}
+		if own := a.Own(); len(own) > 0 {
+			t.Fatalf("all have ended and %+v is left", own)
+		}
+	})
+}
+
+func TestPlainServicesShareTheirWork(t *testing.T) {
+	g := NewWithT(t)
+	a := engines(3)
+	count := map[identifier.Target]int{}
+	for i := uint64(0); i < 12; i++ {
+		q := Ask{Pool: "p", Seed: i}
+		c := a.Choose(second, q)
+		a.Send(second, q, c)
+		count[c.Target]++
+	}
+	for id := range a.targets {
+		g.Expect(count[id]).To(Equal(4))
+	}
+}
--- /dev/null
+++ b/exchanger/exchanger_test.go
@@ -0,0 +1,294 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+
+	"buckthorndrum/clocker"
+)
+
+// target is a scripted stand-in of a target: each connection is served by the
+// script, which is told the number of the connection.
+type target struct {
+	net.Listener
+	conns atomic.Int64
+}
+
+func newTarget(t *testing.T, script func(n int64, c net.Conn, br *bufio.Reader)) *target {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &target{Listener: l}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			n := s.conns.Add(1)
+			go func() {
+				defer func() { _ = c.Close() }()
+				script(n, c, bufio.NewReader(c))
+			}()
+		}
+	}()
+	return s
+}
+
+// readRequest reads one request with its body, and tells whether there was one.
+func readRequest(br *bufio.Reader) (*http.Request, bool) {
+	r, err := http.ReadRequest(br)
+	if err != nil {
+		return nil, false
+	}
+	_, err = io.Copy(io.Discard, r.Body)
+	return r, err == nil
+}
+
+func answer(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+}
+
+func reset(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }
+
+func newPool() *Pool {
+	return New(Config{DialTimeout: time.Second, SilentAfter: time.Second, MaxIdle: 4, Identify: func(h http.Header) string { return h.Get("Id") }})
+}
+
+func get(address, id string) Call {
+	return Call{Address: address, Method: http.MethodGet, ID: id, Repeatable: true,
+		Head: []byte("GET /" + id + " HTTP/1.1\r\nHost: h\r\nId: " + id + "\r\n\r\n")}
+}
+
+func body(g *WithT, a *Answer) string {
+	b, err := io.ReadAll(a.Body)
+	g.Expect(err).NotTo(HaveOccurred())
+	return string(b)
+}
+
+func exchange(g *WithT, p *Pool, c Call) string {
+	a, err := p.Do(context.Background(), c)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer a.Keep()
+	return body(g, a)
+}
+
+func TestConnectionsAreUsedAgain(t *testing.T) {
+	g := NewWithT(t)
+	s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+		for {
+			r, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(c, answer(r.Header.Get("Id"), r.URL.Path))
+		}
+	})
+	p := newPool()
+	for _, id := range []string{"a", "b", "c"} {
+		g.Expect(exchange(g, p, get(s.Addr().String(), id))).To(Equal("/" + id))
+	}
+	g.Expect(p.Opened()).To(BeEquivalentTo(1))
+}
+
+func TestBytesBetweenRequestsBelongToNone(t *testing.T) {
+	g := NewWithT(t)
+	sent := make(chan struct{})
+	s := newTarget(t, func(n int64, c net.Conn, br *bufio.Reader) {
+		r, ok := readRequest(br)
+		if !ok {
+			return
+		}
+		_, _ = io.WriteString(c, answer(r.Header.Get("Id"), "mine"))
+		if n == 1 {
+			time.Sleep(20 * time.Millisecond)
+			_, _ = io.WriteString(c, answer("b", "stray"))
+			close(sent)
+			time.Sleep(time.Second)
+		}
+	})
+	p := newPool()
+	g.Expect(exchange(g, p, get(s.Addr().String(), "a"))).To(Equal("mine"))
+	<-sent
+	time.Sleep(20 * time.Millisecond)
+	g.Expect(exchange(g, p, get(s.Addr().String(), "b"))).To(Equal("mine"))
+	g.Expect(p.Opened()).To(BeEquivalentTo(2))
+}
+
+func TestLateAnswerOfAnotherRequestIsSkipped(t *testing.T) {
+	g := NewWithT(t)
+	s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+		for {
+			r, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(c, answer("other", "stray")+answer(r.Header.Get("Id"), "mine"))
+		}
+	})
+	g.Expect(exchange(g, newPool(), get(s.Addr().String(), "a"))).To(Equal("mine"))
+}
+
+func TestOnlyAnswersOfOthersAreNoAnswer(t *testing.T) {
+	g := NewWithT(t)
+	s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+		if _, ok := readRequest(br); ok {
+			_, _ = io.WriteString(c, answer("other", "stray"))
+		}
+	})
+	_, err := newPool().Do(context.Background(), get(s.Addr().String(), "a"))
+	var f *Fault
+	g.Expect(errors.As(err, &f)).To(BeTrue())
+	g.Expect(f.Sent).To(BeTrue())
+}
+
+func TestRefusedDialSentNothing(t *testing.T) {
+	g := NewWithT(t)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	address := l.Addr().String()
+	g.Expect(l.Close()).To(Succeed())
+	_, err = newPool().Do(context.Background(), get(address, "a"))
+	var f *Fault
+	g.Expect(errors.As(err, &f)).To(BeTrue())
+	g.Expect(f.Sent).To(BeFalse())
+	g.Expect(f.Step).To(Equal(StepDial))
+}
+
+// A library's transport sends a GET again by itself when a kept connection ends.
+func TestRequestIsNeverSentAgainByItself(t *testing.T) {
+	g := NewWithT(t)
+	var requests atomic.Int64
+	s := newTarget(t, func(n int64, c net.Conn, br *bufio.Reader) {
+		for {
+			r, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			if requests.Add(1) == 2 {
+				reset(c)
+				return
+			}
+			_, _ = io.WriteString(c, answer(r.Header.Get("Id"), "x"))
+		}
+	})
+	p := newPool()
+	g.Expect(exchange(g, p, get(s.Addr().String(), "a"))).To(Equal("x"))
+	_, err := p.Do(context.Background(), get(s.Addr().String(), "b"))
+	var f *Fault
+	g.Expect(errors.As(err, &f)).To(BeTrue())
+	g.Expect(f.Sent).To(BeTrue())
+	g.Expect(requests.Load()).To(BeEquivalentTo(2))
+}
+
+func TestAnswerBeforeALongBodyIsRead(t *testing.T) {
+	g := NewWithT(t)
+	s := newTarget(t, func(n int64, c net.Conn, br *bufio.Reader) {
+		r, err := http.ReadRequest(br)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer(r.Header.Get("Id"), "early"))
+		time.Sleep(200 * time.Millisecond)
+	})
+	const size = 8 << 20
+	c := get(s.Addr().String(), "a")
+	c.Method = http.MethodPost
+	c.Head = []byte(fmt.Sprintf("POST / HTTP/1.1\r\nHost: h\r\nId: a\r\nContent-Length: %d\r\n\r\n", size))
+	c.Body = []byte(strings.Repeat("x", size))
+	p := newPool()
+	g.Expect(exchange(g, p, c)).To(Equal("early"))
+	g.Expect(p.idle).To(BeEmpty(), "the target still waits for the rest of the body")
+}
+
+func TestEndOfContextClosesTheConnection(t *testing.T) {
+	g := NewWithT(t)
+	closed := make(chan struct{})
+	s := newTarget(t, func(_ int64, _ net.Conn, br *bufio.Reader) {
+		if _, ok := readRequest(br); ok {
+			_, _ = br.ReadByte()
+			close(closed)
+		}
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Millisecond)
+	defer cancel()
+	_, err := newPool().Do(ctx, get(s.Addr().String(), "a"))
+	g.Expect(err).To(HaveOccurred())
+	g.Eventually(closed, "2s").Should(BeClosed())
+}
+
+func TestAnswerWithoutLength(t *testing.T) {
+	for _, broken := range []bool{false, true} {
+		t.Run(fmt.Sprintf("reset %v", broken), func(t *testing.T) {
+			g := NewWithT(t)
+			s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+				if _, ok := readRequest(br); !ok {
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: a\r\n\r\npart")
+				time.Sleep(50 * time.Millisecond)
+				if broken {
+					reset(c)
+				}
+			})
+			a, err := newPool().Do(context.Background(), get(s.Addr().String(), "a"))
+			g.Expect(err).NotTo(HaveOccurred())
+			defer a.Abort()
+			_, err = io.ReadAll(a.Body)
+			g.Expect(err != nil).To(Equal(broken))
+		})
+	}
+}
+
+func TestOnlyRepeatableRequestsUseOldConnections(t *testing.T) {
+	g := NewWithT(t)
+	s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+		for {
+			r, ok := readRequest(br)
+			if !ok {
+				return
+			}
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nKeep-Alive: timeout=2\r\nContent-Length: 0\r\n\r\n")
+		}
+	})
+	p := newPool()
+	c := get(s.Addr().String(), "a")
+	exchange(g, p, c)
+	for _, k := range p.idle[c.Address] {
+		k.since = clocker.Now().Add(-time.Second)
+	}
+	c.Repeatable = false
+	exchange(g, p, c)
+	g.Expect(p.Opened()).To(BeEquivalentTo(2))
+}
+
+func TestSweepClosesWhatWasIdleForTooLong(t *testing.T) {
+	g := NewWithT(t)
+	s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+		r, ok := readRequest(br)
+		if ok {
+			_, _ = io.WriteString(c, answer(r.Header.Get("Id"), ""))
+			_, _ = br.ReadByte()
+		}
+	})
+	p := newPool()
+	exchange(g, p, get(s.Addr().String(), "a"))
+	p.Sweep(clocker.Now())
+	g.Expect(p.idle).To(HaveLen(1))
+	p.Sweep(clocker.Now().Add(unstatedIdle + time.Second))
+	g.Expect(p.idle).To(BeEmpty())
+}
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,382 @@
+package forwarder
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"buckthorndrum/clocker"
+)
+
+func stringBody(s string) io.Reader { return strings.NewReader(s) }
+
+func TestRequestReachesItsTargetUnchanged(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, whole)
+	r := f.request(http.MethodPost, "/ticket/a%2Fb/../c?x=%20y", "the body")
+	r.URL.Opaque, r.URL.RawQuery = "/ticket/a%2Fb/../c", "x=%20y"
+	r.Header.Set("Other", "kept")
+	r.Header.Set("Workspace", "forged")
+	r.Header.Set("Connection", "X-Gone, Other2")
+	r.Header.Set("Other2", "of one connection")
+	r.Header.Set("Authorization", "secret")
+	a := f.send(r)
+	g.Expect(a.status).To(Equal(200))
+	g.Expect(a.body).To(Equal("whole"))
+	g.Expect(a.header.Get("Seal")).To(Equal("s"))
+	seen := f.seen()
+	g.Expect(seen).To(HaveLen(1))
+	g.Expect(seen[0].uri).To(Equal("/ticket/a%2Fb/../c?x=%20y"))
+	g.Expect(seen[0].body).To(Equal("the body"))
+	g.Expect(seen[0].header.Get("Other")).To(Equal("kept"))
+	g.Expect(seen[0].header.Get("Workspace")).To(Equal("w"))
+	for _, name := range []string{"Key", "Authorization", "Other2", "Connection"} {
+		g.Expect(seen[0].header).NotTo(HaveKey(name))
+	}
+}
+
+// The outcomes of requests that may not be repeated, by what their target does.
+func TestAtMostOnce(t *testing.T) {
+	for name, c := range map[string]struct {
+		first  script
+		status int
+		runs   int
+	}{
+		"target cuts the connection":  {cut, http.StatusBadGateway, 1},
+		"answer breaks off":           {half, http.StatusBadGateway, 1},
+		"target fails":                {failure, http.StatusInternalServerError, 1},
+		"answer is nobody's":          {unsealed, http.StatusBadGateway, 1},
+		"all targets did not run it":  {notRun, http.StatusServiceUnavailable, 2},
+		"target answers something":    {garbage, http.StatusBadGateway, 1},
+		"address is another target's": {moved, http.StatusServiceUnavailable, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t, c.first, c.first)
+			a := f.send(f.request(http.MethodPost, "/ticket/1", "x"))
+			g.Expect(a.status).To(Equal(c.status))
+			g.Expect(f.seen()).To(HaveLen(c.runs))
+			g.Expect(a.header.Get("Retry-After") != "").To(Equal(c.status == http.StatusServiceUnavailable), "a hint when to come back goes with \"not run\"")
+		})
+	}
+}
+
+func failure(w net.Conn, r *http.Request) bool {
+	reply(w, r, http.StatusInternalServerError, "Seal: s\r\n", "failed")
+	return true
+}
+
+func unsealed(w net.Conn, r *http.Request) bool {
+	reply(w, r, http.StatusOK, "", "forged")
+	return true
+}
+
+func moved(w net.Conn, r *http.Request) bool {
+	reply(w, r, http.StatusMisdirectedRequest, "", "")
+	return true
+}
+
+func garbage(w net.Conn, _ *http.Request) bool {
+	_, _ = io.WriteString(w, "220 ready\r\n")
+	return false
+}
+
+func TestRepeatableRequestIsSentToAnother(t *testing.T) {
+	for name, bad := range map[string]script{"cut": cut, "half": half, "not run": notRun, "failure": failure, "unsealed": unsealed, "garbage": garbage, "moved": moved} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t)
+			once := firstThen(bad, whole)
+			f.addTarget("a", once)
+			f.addTarget("b", once)
+			a := f.send(f.request(http.MethodGet, "/lookup/1", ""))
+			g.Expect(a.status).To(Equal(200))
+			g.Expect(a.body).To(Equal("whole"))
+			seen := f.seen()
+			g.Expect(seen).To(HaveLen(2))
+			g.Expect(seen[0].target).NotTo(Equal(seen[1].target))
+		})
+	}
+}
+
+func TestAttemptsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, cut, cut, cut, cut)
+	g.Expect(f.send(f.request(http.MethodGet, "/lookup/1", "")).status).To(Equal(http.StatusBadGateway))
+	g.Expect(f.seen()).To(HaveLen(2), "the route allows two")
+}
+
+func TestRetriesKeepTheirBudget(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, cut, cut)
+	g.Expect(f.Tune(Tunables{ProofAge: time.Minute, Retries: RetryBudget{Window: 10 * time.Second, Extra: 5}})).To(Succeed())
+	for i := 0; i < 20; i++ {
+		f.send(f.request(http.MethodGet, "/lookup/1", ""))
+	}
+	g.Expect(len(f.seen()) - 20).To(BeNumerically("<=", 5))
+}
+
+func TestBudgetIsOfAWindow(t *testing.T) {
+	g := NewWithT(t)
+	cfg := RetryBudget{Ratio: 0.5, Window: 10 * time.Second, Extra: 10}
+	b := &budget{}
+	now := clocker.Now()
+	count := func() int {
+		n := 0
+		for b.retry(now, cfg, 2) {
+			n++
+		}
+		return n
+	}
+	g.Expect(count()).To(Equal(4), "four fifths of half the extra")
+	for i := 0; i < 10; i++ {
+		b.request(now, cfg)
+	}
+	g.Expect(count()).To(Equal(4), "and of half the requests")
+	now = now.Add(5 * time.Second)
+	g.Expect(count()).To(BeZero())
+	now = now.Add(6 * time.Second)
+	g.Expect(count()).To(Equal(4))
+}
+
+func TestStreamGoesOnAtAnotherTarget(t *testing.T) {
+	for name, tail := range map[string]string{"between events": "", "in an event": "id: 4\nda", "in an id": "id: "} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t)
+			both := firstThen(events(1, 3, false, tail), events(1, 9, true, ""))
+			f.addTarget("a", both)
+			f.addTarget("b", both)
+			a := f.send(f.request(http.MethodPost, "/stream/1", "x"))
+			g.Expect(a.broken).To(BeFalse())
+			g.Expect(a.body).To(Equal(numbered(1, 9)))
+			g.Expect(f.seen()[1].header.Get("After")).To(Equal("3"))
+		})
+	}
+}
+
+func TestStreamThatMayNotBeResumedBreaksOff(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, events(1, 3, false, ""), events(1, 3, false, ""))
+	a := f.send(f.request(http.MethodPost, "/once/1", "x"))
+	g.Expect(a.broken).To(BeTrue(), "it must not look complete")
+	g.Expect(a.body).To(Equal(numbered(1, 3)))
+	g.Expect(f.seen()).To(HaveLen(1))
+}
+
+func TestResumedStreamWithAGapBreaksOff(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t)
+	both := firstThen(events(1, 3, false, ""), func(w net.Conn, r *http.Request) bool {
+		r.Header.Set("After", "4")
+		return events(1, 9, true, "")(w, r)
+	})
+	f.addTarget("a", both)
+	f.addTarget("b", both)
+	a := f.send(f.request(http.MethodPost, "/stream/1", "x"))
+	g.Expect(a.broken).To(BeTrue())
+	g.Expect(a.body).To(Equal(numbered(1, 3)))
+}
+
+func TestCallersOwnResumptionIsPassedOn(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, events(1, 9, true, ""))
+	r := f.request(http.MethodPost, "/stream/1", "x")
+	r.Header.Set("After", "6")
+	a := f.send(r)
+	g.Expect(a.body).To(Equal(numbered(7, 9)))
+}
+
+func TestTimeLimitOfTheRoute(t *testing.T) {
+	g := NewWithT(t)
+	gone := make(chan struct{})
+	f := newFleet(t, func(w net.Conn, _ *http.Request) bool {
+		_, _ = w.Read(make([]byte, 1))
+		close(gone)
+		return false
+	})
+	began := time.Now()
+	a := f.send(f.request(http.MethodPost, "/short/1", "x"))
+	g.Expect(a.status).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(time.Since(began)).To(BeNumerically("<", 3*time.Second))
+	g.Eventually(gone, "2s").Should(BeClosed(), "the target's work is stopped")
+	g.Expect(f.seen()[0].header.Get("Left")).To(Satisfy(func(s string) bool { return len(s) <= 3 }), "the target is told what is left")
+}
+
+func TestCallerThatLeavesStopsTheWork(t *testing.T) {
+	g := NewWithT(t)
+	gone := make(chan struct{})
+	f := newFleet(t, func(w net.Conn, _ *http.Request) bool {
+		_, _ = w.Read(make([]byte, 1))
+		close(gone)
+		return false
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go f.send(f.request(http.MethodPost, "/ticket/1", "x").WithContext(ctx))
+	eventually(t, "request arrives", func() bool { return len(f.seen()) == 1 })
+	cancel()
+	g.Eventually(gone, "2s").Should(BeClosed())
+}
+
+// A caller that has left while its connection waited is not sent on (karakoram
+// trouble-1, seed 871042971214).
+func TestCallerThatHasLeftIsNotSentOn(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, whole)
+	for i := 0; i < 20; i++ {
+		c, err := net.Dial("tcp4", f.address)
+		g.Expect(err).NotTo(HaveOccurred())
+		// The router is kept from reading until the caller has left.
+		f.board.mu.Lock()
+		_, _ = io.WriteString(c, "GET /lookup/1 HTTP/1.1\r\nHost: desk\r\nKey: k\r\nId: gone\r\n\r\n")
+		g.Expect(c.Close()).To(Succeed())
+		time.Sleep(5 * time.Millisecond)
+		f.board.mu.Unlock()
+	}
+	g.Consistently(func() int { return len(f.seen()) }, "200ms").Should(BeZero())
+}
+
+func TestKeysAndRoutes(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, whole)
+	status := func(path, key string) int {
+		r := f.request(http.MethodGet, path, "")
+		r.Header.Set("Key", key)
+		return f.send(r).status
+	}
+	g.Expect(status("/lookup/1", "k")).To(Equal(200))
+	g.Expect(status("/lookup/1", "unknown")).To(Equal(http.StatusUnauthorized))
+	g.Expect(status("/lookup/1", "")).To(Equal(http.StatusUnauthorized))
+	g.Expect(status("/open/1", "")).To(Equal(200))
+	g.Expect(status("/nowhere/1", "k")).To(Equal(http.StatusNotFound))
+}
+
+// Without a fresh proof nobody knows whether a key was taken away, or a route
+// added.
+func TestStaleConfigurationRefusesKeys(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, whole)
+	g.Expect(f.Ready(clocker.Now())).To(BeTrue())
+	g.Expect(f.Tune(Tunables{ProofAge: time.Millisecond, Retries: RetryBudget{Window: time.Second}})).To(Succeed())
+	time.Sleep(5 * time.Millisecond)
+	for _, path := range []string{"/lookup/1", "/nowhere/1"} {
+		a := f.send(f.request(http.MethodGet, path, ""))
+		g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+		g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	}
+	g.Expect(f.Ready(clocker.Now())).To(BeFalse())
+	g.Expect(f.seen()).To(BeEmpty())
+}
+
+// A key that is taken away while a request is being sent again is not used.
+func TestKeyIsCheckedAtEachSending(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t)
+	revoke := func(w net.Conn, r *http.Request) bool {
+		f.Adopt(NewSnapshot(2, Limits{}, testRoutes(), []Pool{{ID: testPool}}, nil))
+		return notRun(w, r)
+	}
+	f.addTarget("a", revoke)
+	f.addTarget("b", revoke)
+	g.Expect(f.send(f.request(http.MethodPost, "/ticket/1", "x")).status).To(Equal(http.StatusUnauthorized))
+	g.Expect(f.seen()).To(HaveLen(1))
+}
+
+func TestRevisionsOnlyRise(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, whole)
+	f.configure(7)
+	f.configure(3)
+	g.Expect(f.Revision()).To(BeEquivalentTo(7))
+}
+
+func TestBadSettingsChangeNothing(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, whole)
+	g.Expect(f.Tune(Tunables{})).NotTo(Succeed())
+	g.Expect(f.board.tunables.Load().ProofAge).To(Equal(time.Minute))
+}
+
+func TestDrainCutsNothingOff(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	f := newFleet(t, func(w net.Conn, r *http.Request) bool {
+		<-release
+		return whole(w, r)
+	})
+	answers := make(chan got, 1)
+	go func() { answers <- f.send(f.request(http.MethodPost, "/ticket/1", "x")) }()
+	eventually(t, "request arrives", func() bool { return len(f.seen()) == 1 })
+	drained := make(chan error, 1)
+	go func() { drained <- f.Drain(context.Background()) }()
+	eventually(t, "router says that it is not ready", func() bool { return !f.Ready(clocker.Now()) })
+	late := make(chan got, 1)
+	go func() { late <- f.send(f.request(http.MethodPost, "/ticket/2", "x")) }()
+	eventually(t, "a request that comes meanwhile is served", func() bool { return len(f.seen()) == 2 })
+	close(release)
+	g.Expect((<-answers).body).To(Equal("whole"))
+	a := <-late
+	g.Expect(a.body).To(Equal("whole"))
+	g.Eventually(drained, "10s").Should(Receive(BeNil()))
+	g.Expect(f.Done()).To(BeClosed())
+}
+
+func TestTooManyCallersAreAskedToLeave(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, whole)
+	f.callers.most = 10
+	var conns []net.Conn
+	for i := 0; i < 9; i++ {
+		c, err := net.Dial("tcp4", f.address)
+		g.Expect(err).NotTo(HaveOccurred())
+		conns = append(conns, c)
+		_, _ = io.WriteString(c, "GET /open/1 HTTP/1.1\r\nHost: desk\r\nId: a\r\n\r\n")
+		time.Sleep(2 * time.Millisecond)
+	}
+	last := make([]byte, 4096)
+	n, _ := conns[8].Read(last)
+	g.Expect(string(last[:n])).To(ContainSubstring("Connection: close"))
+	f.callers.sweep(clocker.Now(), time.Nanosecond)
+	eventually(t, "idle connections are closed", func() bool {
+		f.callers.mu.Lock()
+		defer f.callers.mu.Unlock()
+		return len(f.callers.idle) == 0
+	})
+}
+
+func TestBodyLimit(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, whole)
+	f.Adopt(NewSnapshot(2, Limits{MaxBody: 4}, testRoutes(), []Pool{{ID: testPool}}, []Workspace{{ID: "w", Keys: []string{"k"}}}))
+	g.Expect(f.send(f.request(http.MethodPost, "/ticket/1", "1234")).status).To(Equal(200))
+	g.Expect(f.send(f.request(http.MethodPost, "/ticket/1", "12345")).status).To(Equal(http.StatusRequestEntityTooLarge))
+}
+
+func TestLongestPrefixWins(t *testing.T) {
+	g := NewWithT(t)
+	s := NewSnapshot(1, Limits{}, []Route{{Host: "Desk", Prefix: "/a/", Kind: "short"}, {Host: "desk", Prefix: "/a/b/", Kind: "long"}}, nil, nil)
+	g.Expect(s.Match("desk:80", "/a/b/c").Kind).To(BeEquivalentTo("long"))
+	g.Expect(s.Match("DESK", "/a/c").Kind).To(BeEquivalentTo("short"))
+	g.Expect(s.Match("desk", "/a")).To(BeNil())
+	g.Expect(s.Match("other", "/a/b/c")).To(BeNil())
+}
+
+func TestSplitFollowsWeights(t *testing.T) {
+	g := NewWithT(t)
+	r := Route{Split: []Share{{Pool: "a", Weight: 3}, {Pool: "never", Weight: 0}, {Pool: "b", Weight: 1}}}
+	count := map[string]int{}
+	for n := uint64(0); n < 400; n++ {
+		p, ok := r.pick(n)
+		g.Expect(ok).To(BeTrue())
+		count[string(p)]++
+	}
+	g.Expect(count).To(Equal(map[string]int{"a": 300, "b": 100}))
+	_, ok := (&Route{}).pick(1)
+	g.Expect(ok).To(BeFalse())
+}
--- /dev/null
+++ b/sharer/sharer_test.go
@@ -0,0 +1,101 @@
+package sharer
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"buckthorndrum/identifier"
+)
+
+func TestFillIsMaxMin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		asked := rapid.SliceOfN(rapid.Float64Range(1, 1000), 1, 20).Draw(t, "asked")
+		capacity := rapid.Float64Range(1, 5000).Draw(t, "capacity")
+		total := 0.0
+		for _, a := range asked {
+			total += a
+		}
+		level := fill(append([]float64(nil), asked...), capacity)
+		if math.IsInf(level, 1) {
+			if total > capacity*1.0001 {
+				t.Fatalf("all are said to fit, but %.1f are asked of %.1f", total, capacity)
+			}
+			return
+		}
+		given := 0.0
+		for _, a := range asked {
+			given += min(a, level)
+		}
+		if math.Abs(given-capacity) > capacity/1e6 {
+			t.Fatalf("level %.2f gives %.2f of %.2f", level, given, capacity)
+		}
+	})
+}
+
+const second = identifier.Instant(time.Second)
+
+// steady lets workspaces ask for and be given rates, in tokens a second.
+func steady(s *Sharer, from, to identifier.Instant, rates map[identifier.Workspace]Rates) {
+	const steps = 20
+	for at := from; at < to; at += second / steps {
+		for w, r := range rates {
+			s.Asked(at, w, r.Asked/steps)
+			s.Given(at, w, r.Given/steps)
+		}
+	}
+}
+
+func TestStandingFallsWithWhatWasGivenBeyondTheShare(t *testing.T) {
+	g := NewWithT(t)
+	s := New()
+	s.SetCapacity(1000)
+	steady(s, second, 4*second, map[identifier.Workspace]Rates{
+		"small": {Asked: 100, Given: 100},
+		"large": {Asked: 2000, Given: 900},
+		"other": {Asked: 2000, Given: 300},
+	})
+	now := 4 * second
+	g.Expect(s.Level(now)).To(BeNumerically("~", 450, 30))
+	g.Expect(s.Standing(now, "small")).To(Equal(1.0))
+	g.Expect(s.Standing(now, "other")).To(Equal(1.0))
+	g.Expect(s.Standing(now, "large")).To(BeNumerically("~", 0.5, 0.05))
+}
+
+// A router sees only a part of each workspace, so that the peers' rates count.
+func TestPeersCountUntilTheyAreSilent(t *testing.T) {
+	g := NewWithT(t)
+	s := New()
+	s.SetCapacity(1000)
+	steady(s, second, 4*second, map[identifier.Workspace]Rates{"a": {Asked: 300, Given: 300}, "b": {Asked: 500, Given: 100}})
+	now := 4 * second
+	g.Expect(s.Standing(now, "a")).To(Equal(1.0))
+	for i := 0; i < 5; i++ {
+		s.Heard(now, identifier.Router(fmt.Sprint(i)), map[identifier.Workspace]Rates{"a": {Asked: 300, Given: 300}})
+	}
+	now += second / 5
+	g.Expect(s.Standing(now, "a")).To(BeNumerically("<", 0.4))
+	now += 3 * second
+	g.Expect(s.Standing(now, "a")).To(Equal(1.0))
+	g.Expect(s.peers).To(BeEmpty())
+}
+
+func TestNoLimitMeansNoShare(t *testing.T) {
+	g := NewWithT(t)
+	s := New()
+	steady(s, second, 2*second, map[identifier.Workspace]Rates{"a": {Asked: 1 << 20, Given: 1 << 20}})
+	g.Expect(s.Standing(2*second, "a")).To(Equal(1.0))
+}
+
+func TestIdleWorkspacesAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	s := New()
+	s.Asked(second, "a", 100)
+	g.Expect(s.Own(second)).To(HaveLen(1))
+	g.Expect(s.Own(10 * second)).To(BeEmpty())
+	g.Expect(s.own).To(BeEmpty())
+}
