tracker: keep targets whose entries may come back after an outage of the store

Cause: entries expire while the store is down and are back within two seconds of its return; a router that listed the store at once dropped targets that were alive.

--- a/exchanger/exchange.go
+++ b/exchanger/exchange.go
@@ -80,7 +80,7 @@
 	if sent, err := k.write(c); err != nil {
 		return fail(StepWrite, sent, err)
 	}
-	resp, err := k.read(c, p.cfg.Identify)
+	resp, err := k.read(c, p.cfg.Identify) //nolint:bodyclose // Keep or Abort ends the exchange.
 	if err != nil {
 		return fail(StepRead, true, err)
 	}
--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -30,7 +30,6 @@
 	budgets   map[identifier.Pool]*budget
 	// peers is how many routers there are besides this one.
 	peers int
-	calls int
 }
 
 func newBoard(t Tunables) *board {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -153,13 +153,9 @@
 	return callerIdle
 }
 
-const (
-	// lingerNew is how long a stopping router goes on taking new requests, so
-	// that callers are sent elsewhere first.
-	lingerNew = 3 * time.Second
-	// idlePoll is how often a stopping router looks whether it is idle.
-	idlePoll = 20 * time.Millisecond
-)
+// lingerNew is how long a stopping router goes on taking new requests, so that
+// callers are sent elsewhere first.
+const lingerNew = 3 * time.Second
 
 // Drain says that the router is not ready, goes on serving while callers are
 // sent elsewhere, waits for the requests in hand until ctx ends, and stops.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -150,7 +150,7 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			f := newFleet(t)
-			both := firstThen(events(1, 3, false, tail), events(1, 9, true, ""))
+			both := firstThen(events(3, false, tail), events(9, true, ""))
 			f.addTarget("a", both)
 			f.addTarget("b", both)
 			a := f.send(f.request(http.MethodPost, "/stream/1", "x"))
@@ -163,7 +163,7 @@
 
 func TestStreamThatMayNotBeResumedBreaksOff(t *testing.T) {
 	g := NewWithT(t)
-	f := newFleet(t, events(1, 3, false, ""), events(1, 3, false, ""))
+	f := newFleet(t, events(3, false, ""), events(3, false, ""))
 	a := f.send(f.request(http.MethodPost, "/once/1", "x"))
 	g.Expect(a.broken).To(BeTrue(), "it must not look complete")
 	g.Expect(a.body).To(Equal(numbered(1, 3)))
@@ -173,9 +173,9 @@
 func TestResumedStreamWithAGapBreaksOff(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t)
-	both := firstThen(events(1, 3, false, ""), func(w net.Conn, r *http.Request) bool {
+	both := firstThen(events(3, false, ""), func(w net.Conn, r *http.Request) bool {
 		r.Header.Set("After", "4")
-		return events(1, 9, true, "")(w, r)
+		return events(9, true, "")(w, r)
 	})
 	f.addTarget("a", both)
 	f.addTarget("b", both)
@@ -186,7 +186,7 @@
 
 func TestCallersOwnResumptionIsPassedOn(t *testing.T) {
 	g := NewWithT(t)
-	f := newFleet(t, events(1, 9, true, ""))
+	f := newFleet(t, events(9, true, ""))
 	r := f.request(http.MethodPost, "/stream/1", "x")
 	r.Header.Set("After", "6")
 	a := f.send(r)
--- a/forwarder/standin_test.go
+++ b/forwarder/standin_test.go
@@ -236,10 +236,11 @@
 	return false
 }
 
-// events streams the events from a number to a last one, and ends the stream if
+// events streams the events up to a last one, from where the caller is, and ends the stream if
 // it is complete.
-func events(from, to int, complete bool, tail string) script {
+func events(to int, complete bool, tail string) script {
 	return func(w net.Conn, r *http.Request) bool {
+		from := 1
 		if n, err := strconv.Atoi(r.Header.Get("After")); err == nil {
 			from = n + 1
 		}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 
+	"github.com/pkg/errors"
 	"go.uber.org/zap"
 
 	"buckthorndrum/admitter"
@@ -47,7 +48,7 @@
 		if err == nil && len(pending) <= maxEvent {
 			continue
 		}
-		if err == io.EOF && len(bytes.TrimSpace(pending)) == 0 && c.begun() {
+		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0 && c.begun() {
 			a.Keep()
 			return admitter.Answered, nil
 		}
@@ -62,7 +63,7 @@
 
 // endStream ends a stream whose caller or time is gone, or that is out of order.
 func (f *Forwarder) endStream(ctx context.Context, c *call, t *chosen, why error) (admitter.Result, *ending) {
-	if why == errOrder {
+	if errors.Is(why, errOrder) {
 		return f.brokenStream(c, t, why.Error())
 	}
 	if c.r.Context().Err() == nil && ctx.Err() != nil {
--- /dev/null
+++ b/tracker/tracker.go
@@ -0,0 +1,124 @@
+package tracker
+
+import (
+	"sort"
+	"time"
+
+	"buckthorndrum/forwarder"
+	"buckthorndrum/identifier"
+)
+
+// Config sets up a tracker.
+type Config struct {
+	// ReturnWithin is how long after the end of an outage an entry may still be
+	// missing whose target is alive.
+	ReturnWithin time.Duration
+}
+
+// Tracker holds the targets by the key of their entry. It is not safe for
+// concurrent use.
+type Tracker struct {
+	cfg     Config
+	targets map[string]forwarder.Target
+	// missing holds when a target is dropped whose entry is gone since an outage.
+	missing map[string]identifier.Instant
+	// lost is since when the store has not answered, zero while it does.
+	lost identifier.Instant
+	// held is until when entries that are gone may come back.
+	held identifier.Instant
+	// changed tells that the list differs from what Targets returned last.
+	changed bool
+}
+
+// New returns an empty tracker.
+func New(cfg Config) *Tracker {
+	return &Tracker{cfg: cfg, targets: map[string]forwarder.Target{}, missing: map[string]identifier.Instant{}}
+}
+
+// Lost notes that the store did not answer, and tells whether that is new.
+func (t *Tracker) Lost(now identifier.Instant) bool {
+	if t.lost != 0 {
+		return false
+	}
+	t.lost = now
+	return true
+}
+
+// Answered notes that the store has answered, and returns for how long it had
+// not.
+func (t *Tracker) Answered(now identifier.Instant) (outage time.Duration) {
+	if t.lost == 0 {
+		return 0
+	}
+	outage = now.Sub(t.lost)
+	t.lost = 0
+	t.held = now.Add(t.cfg.ReturnWithin)
+	return outage
+}
+
+// Set notes a target.
+func (t *Tracker) Set(key string, v forwarder.Target) {
+	delete(t.missing, key)
+	if old, known := t.targets[key]; known && old == v {
+		return
+	}
+	t.targets[key] = v
+	t.changed = true
+}
+
+// Remove notes that an entry is gone. Shortly after an outage the target is kept
+// for a while, since the entry may have expired while the target is alive.
+func (t *Tracker) Remove(now identifier.Instant, key string) {
+	if _, known := t.targets[key]; !known {
+		return
+	}
+	if now < t.held {
+		if t.missing[key] == 0 {
+			t.missing[key] = t.held
+		}
+		return
+	}
+	t.drop(key)
+}
+
+// Spoil notes that an entry names no target any more.
+func (t *Tracker) Spoil(key string) {
+	if _, known := t.targets[key]; known {
+		t.drop(key)
+	}
+}
+
+func (t *Tracker) drop(key string) {
+	delete(t.targets, key)
+	delete(t.missing, key)
+	t.changed = true
+}
+
+// Keep notes that a full list has these keys only.
+func (t *Tracker) Keep(now identifier.Instant, keys map[string]bool) {
+	for key := range t.targets {
+		if !keys[key] {
+			t.Remove(now, key)
+		}
+	}
+}
+
+// Targets returns the list in a fixed order, and whether it has changed since the
+// last call.
+func (t *Tracker) Targets(now identifier.Instant) ([]forwarder.Target, bool) {
+	for key, at := range t.missing {
+		if now >= at {
+			t.drop(key)
+		}
+	}
+	if !t.changed {
+		return nil, false
+	}
+	t.changed = false
+	list := make([]forwarder.Target, 0, len(t.targets))
+	for _, v := range t.targets {
+		list = append(list, v)
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
+	return list, true
+}
