--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -237,6 +237,20 @@
 	Left
 )
 
+// String returns the result's name, as counted.
+func (r Result) String() string {
+	switch r {
+	case Answered:
+		return "answered"
+	case Failed:
+		return "failed"
+	case Broken:
+		return "broken"
+	default:
+		return "left"
+	}
+}
+
 // Ended notes how a request ended.
 func (a *Admitter) Ended(now identifier.Instant, s *Sent, r Result) {
 	t := a.targets[s.target]
--- a/cmd/buckthorndrum/platform.go
+++ b/cmd/buckthorndrum/platform.go
@@ -21,10 +21,14 @@
 		fs.StringVar(&level, "log-level", "info", "debug, info, warn or error")
 	}
 	return processCommand("platform", "run a router on the users' platform", errOut, register, func(ctx context.Context) error {
-		log, err := reporter.New(level)
+		stop := make(chan struct{})
+		log, lines, err := reporter.NewBounded(level, os.Stdout, stop)
 		if err != nil {
 			return settingsError{err}
 		}
-		return platform.Run(ctx, path, log)
+		err = platform.Run(ctx, platform.Config{Path: path, Log: log, Dropped: lines.Dropped})
+		close(stop)
+		<-lines.Done()
+		return err
 	})
 }
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -8,11 +8,8 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
-
 	"buckthorndrum/admitter"
 	"buckthorndrum/exchanger"
-	"buckthorndrum/reporter"
 )
 
 // maxHeld is the largest answer that is read whole before the caller gets it,
@@ -44,7 +41,7 @@
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxHeld+1))
 	if err != nil || len(body) > maxHeld {
 		a.Abort()
-		f.log.Info("answer broke off", zap.String("request", string(c.facts.ID)), zap.String("target", string(t.choice.Target)), reporter.Error(err))
+		c.note(err)
 		return f.unanswered(ctx, c, t, "answer broke off")
 	}
 	a.Keep()
@@ -54,7 +51,7 @@
 			return again, nil
 		}
 	}
-	f.began(t)
+	f.began(c, t)
 	return f.pass(c, a, body, failed), nil
 }
 
@@ -75,6 +72,7 @@
 	if c.r.Method != http.MethodHead {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
+	c.status = a.Status
 	c.w.WriteHeader(a.Status)
 	_, _ = c.w.Write(body)
 	if failed {
@@ -106,8 +104,7 @@
 // end answers a request that no target answered. One whose answer has begun is
 // broken off, so that it does not look complete.
 func (f *Forwarder) end(c *call, e ending) {
-	f.log.Info("request ended", zap.String("request", string(c.facts.ID)), zap.Int("status", e.status), zap.String("reason", e.reason),
-		zap.Int("sends", c.sends), zap.Bool("may_have_run", c.mayHaveRun), zap.Bool("begun", c.begun()))
+	c.reason, c.status = e.reason, e.status
 	if c.begun() {
 		panic(http.ErrAbortHandler)
 	}
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -11,7 +11,6 @@
 	"buckthorndrum/admitter"
 	"buckthorndrum/clocker"
 	"buckthorndrum/exchanger"
-	"buckthorndrum/reporter"
 )
 
 // maxUnsent bounds the sendings of one request that no target ran.
@@ -63,6 +62,7 @@
 	if r == again {
 		r = admitter.Failed
 	}
+	f.metrics.sendings.WithLabelValues(r.String()).Inc()
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
 	f.board.admitter.Ended(clocker.Now(), t.sent, r)
@@ -87,7 +87,7 @@
 		c.mayHaveRun = true
 		c.runs++
 	}
-	f.log.Info("no answer", zap.String("request", string(c.facts.ID)), zap.String("target", string(t.choice.Target)), zap.Bool("may_have_run", c.mayHaveRun), reporter.Error(err))
+	c.note(err)
 	if ctx.Err() != nil {
 		return f.truth(c, &ending{status: http.StatusGatewayTimeout, reason: "The time limit has passed."})
 	}
@@ -114,7 +114,8 @@
 	case !f.mayRetry(clocker.Now(), c.pool):
 		return f.truth(c, &ending{status: http.StatusServiceUnavailable, reason: "All targets are busy.", retryAfter: time.Second})
 	}
-	f.log.Info("sending again", zap.String("request", string(c.facts.ID)), zap.String("target", string(t.choice.Target)), zap.String("reason", why))
+	f.log.Info("sending again", zap.String("request", string(c.facts.ID)), zap.String("target", string(t.choice.Target)), zap.String("reason", why),
+		zap.Int("sends", c.sends), zap.Int("runs", c.runs), zap.String("fault", c.fault))
 	return nil
 }
 
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -8,8 +8,6 @@
 	"strings"
 	"time"
 
-	"go.uber.org/zap"
-
 	"buckthorndrum/admitter"
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
@@ -37,6 +35,7 @@
 	stream *stream
 	// seed spreads requests without a prompt.
 	seed uint64
+	account
 }
 
 // ending is how a request ends without a target's answer.
@@ -55,6 +54,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c.facts = f.cfg.Dialect.Read(r.Header)
+	defer f.ended(c)
 	ctx, cancel, e := f.intake(c)
 	if e == nil {
 		defer cancel()
@@ -101,6 +101,7 @@
 		return &ending{status: http.StatusServiceUnavailable, reason: "There is no configuration yet.", retryAfter: time.Second}
 	}
 	now := clocker.Now()
+	c.revision, c.proofAge = s.Revision, now.Sub(identifier.Instant(f.board.proved.Load()))
 	route := s.Match(c.r.Host, path(c.r))
 	if route == nil {
 		if !f.fresh(now) {
@@ -227,8 +228,9 @@
 	q.Within = standing >= 1
 	q.Limit = limit(c.route.Aim, standing)
 	choice := f.board.admitter.Choose(now, q)
+	c.standing, c.limit, c.choice = standing, q.Limit, choice
 	if choice.Refused != "" {
-		return nil, f.refused(c, choice, standing)
+		return nil, f.truth(c, refused(choice))
 	}
 	if q.Model != "" && c.runs == 0 {
 		f.board.sharer.Given(now, c.workspace, c.size())
@@ -253,11 +255,8 @@
 )
 
 // refused is the ending of a request for which no target has room.
-func (f *Forwarder) refused(c *call, choice admitter.Choice, standing float64) *ending {
-	after := choice.Wait
-	after = min(max(after, minRetryAfter), maxRetryAfter)
+func refused(choice admitter.Choice) *ending {
+	after := min(max(choice.Wait, minRetryAfter), maxRetryAfter)
 	after += time.Duration(rand.Float64() * float64(after) / 2)
-	f.log.Info("request refused", zap.String("request", string(c.facts.ID)), zap.String("reason", string(choice.Refused)),
-		zap.Float64("standing", standing), zap.Duration("wait", choice.Wait), zap.String("workspace", string(c.workspace)))
 	return &ending{status: http.StatusServiceUnavailable, reason: "All targets are busy.", retryAfter: after}
 }
--- a/forwarder/callers.go
+++ b/forwarder/callers.go
@@ -55,6 +55,13 @@
 	closeIdle  = 75
 )
 
+// count returns how many connections there are.
+func (s *callers) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.idle)
+}
+
 // crowded tells whether callers should close their connections.
 func (s *callers) crowded() bool {
 	s.mu.Lock()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -82,6 +82,7 @@
 	pool    *exchanger.Pool
 	callers *callers
 	server  *http.Server
+	metrics *metrics
 	log     *zap.Logger
 	ctx     context.Context
 	cancel  context.CancelFunc
@@ -107,6 +108,7 @@
 		done:    make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.metrics = newMetrics(f)
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headerTimeout,
--- /dev/null
+++ b/forwarder/metrics.go
@@ -0,0 +1,64 @@
+package forwarder
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"buckthorndrum/clocker"
+	"buckthorndrum/identifier"
+)
+
+// metrics are the forwarder's measurements. No label takes a value from a caller.
+type metrics struct {
+	registry *prometheus.Registry
+	endings  *prometheus.CounterVec
+	sendings *prometheus.CounterVec
+	first    prometheus.Histogram
+	whole    prometheus.Histogram
+}
+
+// firstBucket is the shortest latency that is told apart, in seconds.
+const firstBucket = 0.005
+
+func newMetrics(f *Forwarder) *metrics {
+	buckets := prometheus.ExponentialBuckets(firstBucket, 2, 13)
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		endings:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_requests_total", Help: "Requests ended, by how."}, []string{"ending"}),
+		sendings: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_sendings_total", Help: "Requests sent to targets, by result."}, []string{"result"}),
+		first:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "buckthorndrum_forwarder_first_byte_seconds", Help: "Time from a request's arrival to the first part of its answer.", Buckets: buckets}),
+		whole:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "buckthorndrum_forwarder_request_seconds", Help: "Time from a request's arrival to its end.", Buckets: buckets}),
+	}
+	m.registry.MustRegister(m.endings, m.sendings, m.first, m.whole)
+	m.gauge("buckthorndrum_forwarder_config_revision", "Configuration revision in force.", func() float64 { return float64(f.Revision()) })
+	m.gauge("buckthorndrum_forwarder_proof_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
+		return clocker.Now().Sub(identifier.Instant(f.board.proved.Load())).Seconds()
+	})
+	m.gauge("buckthorndrum_forwarder_targets", "Targets listed.", func() float64 {
+		f.board.mu.Lock()
+		defer f.board.mu.Unlock()
+		return float64(len(f.board.addresses))
+	})
+	m.gauge("buckthorndrum_forwarder_peers", "Other routers heard lately.", func() float64 {
+		f.board.mu.Lock()
+		defer f.board.mu.Unlock()
+		return float64(f.board.peers)
+	})
+	m.gauge("buckthorndrum_forwarder_caller_connections", "Callers' connections.", func() float64 { return float64(f.callers.count()) })
+	m.gauge("buckthorndrum_forwarder_target_connections_opened", "Connections to targets opened since the start.", func() float64 { return float64(f.pool.Opened()) })
+	return m
+}
+
+func (m *metrics) gauge(name, help string, read func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, read))
+}
+
+// Metrics returns the handler that serves the measurements.
+func (f *Forwarder) Metrics() http.Handler {
+	return promhttp.HandlerFor(f.metrics.registry, promhttp.HandlerOpts{})
+}
+
+// Watch adds a measurement of another part of the process.
+func (f *Forwarder) Watch(name, help string, read func() float64) { f.metrics.gauge(name, help, read) }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -8,12 +8,10 @@
 	"strconv"
 
 	"github.com/pkg/errors"
-	"go.uber.org/zap"
 
 	"buckthorndrum/admitter"
 	"buckthorndrum/clocker"
 	"buckthorndrum/exchanger"
-	"buckthorndrum/reporter"
 )
 
 // stream is the part of a stream that the caller has got.
@@ -53,7 +51,7 @@
 			return admitter.Answered, nil
 		}
 		a.Abort()
-		f.log.Info("stream broke", zap.String("request", string(c.facts.ID)), zap.String("target", string(t.choice.Target)), reporter.Error(err))
+		c.note(err)
 		if ctx.Err() != nil {
 			return f.endStream(ctx, c, t, errCaller)
 		}
@@ -109,8 +107,9 @@
 }
 
 func (f *Forwarder) writeEvents(c *call, t *chosen, a *exchanger.Answer, events []byte) error {
-	f.began(t)
+	f.began(c, t)
 	if c.stream.events == 0 {
+		c.status = a.Status
 		copyHeader(c.w.Header(), a.Header)
 		c.w.WriteHeader(a.Status)
 	}
@@ -122,10 +121,21 @@
 }
 
 // began notes that a target has begun to answer.
-func (f *Forwarder) began(t *chosen) {
+func (f *Forwarder) began(c *call, t *chosen) {
+	now := clocker.Now()
+	if c.first == 0 {
+		c.first = now
+	}
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
-	f.board.admitter.Began(clocker.Now(), t.sent)
+	f.board.admitter.Began(now, t.sent)
+}
+
+// note keeps an error of a connection for the request's line.
+func (c *call) note(err error) {
+	if err != nil {
+		c.fault = err.Error()
+	}
 }
 
 // begun tells whether the caller has got a part of the answer.
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -44,6 +44,9 @@
 	return true
 }
 
+// Outage tells whether the store has not answered lately.
+func (t *Tracker) Outage() bool { return t.lost != 0 }
+
 // Answered notes that the store has answered, and returns for how long it had
 // not.
 func (t *Tracker) Answered(now identifier.Instant) (outage time.Duration) {
