informer, forwarder: routers report to two hubs, and leave requests to others when short of processor time

(2) One router with a tenth of a core got most of a zone's requests and answered up to 4 s late; LOST once, as an idle connection was closed on which a request had come that was not read yet. Change: routers report to the two strongest routers, which tell the total, echoing the report that is in it; the total vouches for the configuration with its age counted from that report, so that the others watch for long. A router whose ready work waits for the processor refuses those beyond their share first, asks callers to reconnect and is not ready. Idle connections with unread bytes stay.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -59,12 +59,13 @@
 type Admitter struct {
 	targets map[identifier.Target]*state
 	pools   map[identifier.Pool][]*state
-	heard   map[identifier.Router]identifier.Instant
+	// heard is when others' loads came last.
+	heard identifier.Instant
 }
 
 // New returns an admitter without targets.
 func New() *Admitter {
-	return &Admitter{targets: map[identifier.Target]*state{}, pools: map[identifier.Pool][]*state{}, heard: map[identifier.Router]identifier.Instant{}}
+	return &Admitter{targets: map[identifier.Target]*state{}, pools: map[identifier.Pool][]*state{}}
 }
 
 // SetTargets replaces the list of targets. What was learned of those that stay
@@ -75,7 +76,7 @@
 	for _, t := range list {
 		s := a.targets[t.ID]
 		if s == nil || s.Start != t.Start {
-			s = &state{peers: map[identifier.Router]Load{}, parts: held{}, pace: a.usualPace(t.Pool)}
+			s = &state{parts: held{}, pace: a.usualPace(t.Pool)}
 		}
 		s.Target = t
 		next[t.ID] = s
@@ -281,32 +282,22 @@
 	return loads
 }
 
-// Heard notes what peer p has under way.
-func (a *Admitter) Heard(now identifier.Instant, p identifier.Router, loads map[identifier.Target]Load) {
-	a.heard[p] = now
+// Heard notes what all other routers have under way.
+func (a *Admitter) Heard(now identifier.Instant, loads map[identifier.Target]Load) {
+	a.heard = now
 	for id, t := range a.targets {
-		l, ok := loads[id]
-		if !ok {
-			delete(t.peers, p)
-			continue
-		}
-		t.peers[p] = l
+		t.others = loads[id]
 	}
 }
 
-// peerLife is how long what a peer said counts.
-const peerLife = time.Second
+// othersLife is how long what others said counts.
+const othersLife = time.Second
 
-// Tick forgets peers that are silent and parts that are no longer used.
+// Tick forgets what others said if they are silent, and parts that are no longer
+// used.
 func (a *Admitter) Tick(now identifier.Instant) {
-	for p, at := range a.heard {
-		if now.Sub(at) <= peerLife {
-			continue
-		}
-		delete(a.heard, p)
-		for _, t := range a.targets {
-			delete(t.peers, p)
-		}
+	if a.heard != 0 && now.Sub(a.heard) > othersLife {
+		a.Heard(0, nil)
 	}
 	for _, t := range a.targets {
 		t.parts.forget(now)
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -54,7 +54,7 @@
 		unread int
 		stays  bool
 	}{{0, true}, {2000, true}, {80000, false}} {
-		a.Heard(second, "peer", map[identifier.Target]Load{home: {Running: 1, Unread: c.unread}})
+		a.Heard(second, map[identifier.Target]Load{home: {Running: 1, Unread: c.unread}})
 		g.Expect(a.Choose(second, ask(1)).Target == home).To(Equal(c.stays), "with %d tokens ahead", c.unread)
 	}
 }
@@ -65,12 +65,12 @@
 	list := append([]*state(nil), a.pools["p"]...)
 	homes(list, chainKeys("m", ask(1).Chain), 0)
 	load := map[identifier.Target]Load{list[0].ID: {Running: 8}}
-	a.Heard(second, "peer", load)
+	a.Heard(second, load)
 	g.Expect([]identifier.Target{list[1].ID, list[2].ID}).To(ContainElement(a.Choose(second, ask(1)).Target))
 	for _, t := range list[:firstHomes] {
 		load[t.ID] = Load{Running: 8}
 	}
-	a.Heard(second, "peer", load)
+	a.Heard(second, load)
 	g.Expect(a.Choose(second, ask(1)).Refused).To(BeEmpty(), "within the share it goes further")
 	q := ask(1)
 	q.Within = false
@@ -85,14 +85,14 @@
 	q.Within = false
 	home := a.Choose(second, q).Target
 	load := map[identifier.Target]Load{home: {Running: 8}}
-	a.Heard(second, "peer", load)
+	a.Heard(second, load)
 	g.Expect(a.Choose(second, q).Refused).To(BeEmpty(), "the others are idle")
 	for id := range a.targets {
 		if id != home {
 			load[id] = Load{Running: 1, Unread: 20000}
 		}
 	}
-	a.Heard(second, "peer", load)
+	a.Heard(second, load)
 	g.Expect(a.Choose(second, q).Refused).To(Equal(Busy))
 	q.Within = true
 	g.Expect(a.Choose(second, q).Refused).To(BeEmpty())
@@ -101,7 +101,7 @@
 func TestRefusesWhatCannotBeOnTime(t *testing.T) {
 	g := NewWithT(t)
 	a := engines(2)
-	a.Heard(second, "peer", map[identifier.Target]Load{"e0": {Running: 2, Unread: 200000}, "e1": {Running: 2, Unread: 150000}})
+	a.Heard(second, map[identifier.Target]Load{"e0": {Running: 2, Unread: 200000}, "e1": {Running: 2, Unread: 150000}})
 	c := a.Choose(second, ask(1))
 	g.Expect(c.Refused).To(Equal(Busy))
 	g.Expect(c.Wait).To(BeNumerically(">", time.Second), "and says how long the sooner one takes")
@@ -179,9 +179,9 @@
 func TestSilentPeersAreForgotten(t *testing.T) {
 	g := NewWithT(t)
 	a := engines(2)
-	a.Heard(second, "peer", map[identifier.Target]Load{"e0": {Running: 3}})
+	a.Heard(second, map[identifier.Target]Load{"e0": {Running: 3}})
 	g.Expect(a.targets["e0"].load().Running).To(Equal(3))
-	a.Tick(second.Add(2 * peerLife))
+	a.Tick(second.Add(2 * othersLife))
 	g.Expect(a.targets["e0"].load().Running).To(BeZero())
 }
 
--- a/admitter/target.go
+++ b/admitter/target.go
@@ -39,10 +39,11 @@
 // state is what this router knows of one target.
 type state struct {
 	Target
-	own   Load
-	peers map[identifier.Router]Load
-	parts held
-	pace  pace
+	// own is what this router has under way, others what all others have.
+	own    Load
+	others Load
+	parts  held
+	pace   pace
 	// shunned is until when it gets no work, and faults how many failures came in
 	// a row.
 	shunned identifier.Instant
@@ -54,13 +55,7 @@
 }
 
 // load returns what all routers have under way at the target.
-func (t *state) load() Load {
-	sum := t.own
-	for _, l := range t.peers {
-		sum = sum.plus(l)
-	}
-	return sum
-}
+func (t *state) load() Load { return t.own.plus(t.others) }
 
 // pace is how a target reads prompts: the time to a first token is base plus
 // slope for each token ahead.
--- a/forwarder/account.go
+++ b/forwarder/account.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
 
 	"buckthorndrum/admitter"
 	"buckthorndrum/clocker"
@@ -49,6 +50,10 @@
 	if c.first > 0 {
 		f.metrics.first.Observe(c.first.Sub(c.arrived).Seconds())
 	}
+	line := f.log.Check(zap.InfoLevel, "request ended")
+	if line == nil {
+		return
+	}
 	fields := []zap.Field{
 		zap.String("request", string(c.facts.ID)), zap.String("ending", how), zap.Int("status", c.status),
 		zap.String("workspace", string(c.workspace)), zap.Duration("took", now.Sub(c.arrived)),
@@ -59,7 +64,7 @@
 		fields = append(fields, zap.String("kind", string(c.route.Kind)), zap.String("pool", string(c.pool)))
 	}
 	if len(c.tried) > 0 || c.choice.Refused != "" {
-		fields = append(fields, zap.Any("targets", c.tried), zap.Float64("standing", c.standing), zap.Duration("limit", c.limit),
+		fields = append(fields, zap.Array("targets", targetList(c.tried)), zap.Float64("standing", c.standing), zap.Duration("limit", c.limit),
 			zap.Duration("expected", c.choice.Wait), zap.Int("unread", c.choice.Unread), zap.String("refused", string(c.choice.Refused)))
 	}
 	if c.first > 0 {
@@ -68,7 +73,18 @@
 	if c.reason != "" || c.fault != "" {
 		fields = append(fields, zap.String("reason", c.reason), zap.String("fault", c.fault))
 	}
-	f.log.Info("request ended", fields...)
+	line.Write(fields...)
+}
+
+// targetList writes targets to a log line.
+type targetList []identifier.Target
+
+// MarshalLogArray implements zapcore.ArrayMarshaler.
+func (l targetList) MarshalLogArray(enc zapcore.ArrayEncoder) error {
+	for _, t := range l {
+		enc.AppendString(string(t))
+	}
+	return nil
 }
 
 // ending returns how a request ended, as counted.
--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -19,6 +19,8 @@
 	tunables atomic.Pointer[Tunables]
 	// proved is when the snapshot was last known to be the newest, as an Instant.
 	proved atomic.Int64
+	// position is the store's revision up to which all changes are known.
+	position atomic.Int64
 	// stopping tells that the process is to end.
 	stopping atomic.Bool
 
@@ -64,11 +66,11 @@
 	return 0
 }
 
-// Prove notes that the configuration in force was the newest at that instant.
-func (f *Forwarder) Prove(at identifier.Instant) {
+// raise sets v unless it is higher already.
+func raise(v *atomic.Int64, to int64) {
 	for {
-		old := f.board.proved.Load()
-		if int64(at) <= old || f.board.proved.CompareAndSwap(old, int64(at)) {
+		old := v.Load()
+		if to <= old || v.CompareAndSwap(old, to) {
 			return
 		}
 	}
@@ -97,45 +99,7 @@
 // relied on, and is not about to end.
 func (f *Forwarder) Ready(now identifier.Instant) bool {
 	s := f.board.snapshot.Load()
-	return s != nil && !f.board.stopping.Load() && f.fresh(now)
-}
-
-// fresh tells whether a key may still be relied on.
-func (f *Forwarder) fresh(now identifier.Instant) bool {
-	age := f.board.tunables.Load().ProofAge
-	if age <= 0 {
-		return true
-	}
-	proved := identifier.Instant(f.board.proved.Load())
-	return proved > 0 && now.Sub(proved) <= age
-}
-
-// Summary is what routers tell each other.
-type Summary struct {
-	Loads map[identifier.Target]admitter.Load   `cbor:"1,keyasint,omitempty"`
-	Rates map[identifier.Workspace]sharer.Rates `cbor:"2,keyasint,omitempty"`
-}
-
-// Summary returns what this router tells its peers.
-func (f *Forwarder) Summary(now identifier.Instant) Summary {
-	f.board.mu.Lock()
-	defer f.board.mu.Unlock()
-	return Summary{Loads: f.board.admitter.Own(), Rates: f.board.sharer.Own(now)}
-}
-
-// Heard takes in what peer p tells.
-func (f *Forwarder) Heard(now identifier.Instant, p identifier.Router, s Summary) {
-	f.board.mu.Lock()
-	defer f.board.mu.Unlock()
-	f.board.admitter.Heard(now, p, s.Loads)
-	f.board.sharer.Heard(now, p, s.Rates)
-}
-
-// SetPeers notes how many other routers there are.
-func (f *Forwarder) SetPeers(n int) {
-	f.board.mu.Lock()
-	defer f.board.mu.Unlock()
-	f.board.peers = n
+	return s != nil && !f.board.stopping.Load() && !f.strain.high() && f.fresh(now)
 }
 
 // sweepEvery is how often what has grown old is dropped.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -50,11 +50,15 @@
 // ServeHTTP serves one caller's request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{w: w, r: r, arrived: clocker.Now(), seed: rand.Uint64()}
-	if f.board.stopping.Load() || f.callers.crowded() {
+	if f.board.stopping.Load() || f.callers.crowded() || f.strain.high() {
 		w.Header().Set("Connection", "close")
 	}
 	c.facts = f.cfg.Dialect.Read(r.Header)
 	defer f.ended(c)
+	if f.strain.refuses(f.standingOf(c.arrived, c.facts.Key)) {
+		f.end(c, ending{status: http.StatusServiceUnavailable, reason: "This router is short of processor time.", retryAfter: minRetryAfter})
+		return
+	}
 	ctx, cancel, e := f.intake(c)
 	if e == nil {
 		defer cancel()
--- a/forwarder/callers.go
+++ b/forwarder/callers.go
@@ -9,6 +9,8 @@
 	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
 )
@@ -81,7 +83,9 @@
 // longest while there are too many.
 func (s *callers) sweep(now identifier.Instant, limit time.Duration) {
 	for _, c := range s.surplus(now, limit) {
-		_ = c.Close()
+		if waiting(c) == nothing {
+			_ = c.Close()
+		}
 	}
 }
 
@@ -112,19 +116,43 @@
 	if r.Context().Err() != nil {
 		return true
 	}
-	sc, ok := r.Context().Value(connKey{}).(syscall.Conn)
+	c, ok := r.Context().Value(connKey{}).(net.Conn)
+	return ok && waiting(c) == anEnd
+}
+
+// received is what a connection has received that was not read.
+type received int
+
+// What a connection may have received.
+const (
+	nothing received = iota
+	bytesOf
+	anEnd
+)
+
+// waiting looks what a connection has received, and reads nothing.
+func waiting(c net.Conn) received {
+	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return nothing
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return true
+		return anEnd
 	}
-	left := false
+	found := nothing
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		left = n == 0 && err == nil || err != nil && err != syscall.EAGAIN && err != syscall.EINTR
+		switch {
+		case n > 0:
+			found = bytesOf
+		case err == nil || !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR):
+			found = anEnd
+		}
 	})
-	return left || err != nil
+	if err != nil {
+		return anEnd
+	}
+	return found
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -83,9 +83,11 @@
 	callers *callers
 	server  *http.Server
 	metrics *metrics
+	strain  strain
 	log     *zap.Logger
 	ctx     context.Context
 	cancel  context.CancelFunc
+	behind  chan int64
 	// done is closed when the forwarder has stopped.
 	done chan struct{}
 }
@@ -105,6 +107,7 @@
 		pool:    exchanger.New(exchanger.Config{DialTimeout: dialTimeout, SilentAfter: silentAfter, MaxIdle: maxIdle, Identify: cfg.Identify}),
 		log:     cfg.Log.Named("forwarder"),
 		callers: newCallers(cfg.MaxCallers),
+		behind:  make(chan int64, 1),
 		done:    make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
@@ -118,6 +121,7 @@
 	}
 	go f.serve(l)
 	go f.sweep()
+	go f.watchStrain()
 	f.log.Info("serving callers", zap.String("address", l.Addr().String()))
 	return f, nil
 }
--- a/forwarder/standin_test.go
+++ b/forwarder/standin_test.go
@@ -91,7 +91,7 @@
 		f.addTarget(fmt.Sprintf("t%d", i), s)
 	}
 	f.configure(1)
-	f.Prove(clocker.Now())
+	f.Prove(clocker.Now(), 1)
 	return f
 }
 
--- /dev/null
+++ b/forwarder/strain.go
@@ -0,0 +1,146 @@
+package forwarder
+
+import (
+	"math/rand/v2"
+	runtimemetrics "runtime/metrics"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"buckthorndrum/identifier"
+)
+
+const (
+	// strainTick is how often the process looks how late it is.
+	strainTick = 50 * time.Millisecond
+	// strainLate is how long ready work may wait for the processor in a process
+	// that has time for all it is given.
+	strainLate = 20 * time.Millisecond
+	// lateQuantile is the part of the ready work that waited no longer.
+	lateQuantile = 0.8
+	// lateWeight is the weight of one look.
+	lateWeight = 0.4
+	// strainRise and strainFall change the share of requests that is refused, at
+	// each look.
+	strainRise = 0.08
+	strainFall = 0.03
+	// strainMost is the most that is refused.
+	strainMost = 0.95
+	// spareBelow is the share below which only requests beyond their workspace's
+	// share are refused.
+	spareBelow = 0.6
+	// strainedFrom is the share from which the router counts as strained.
+	strainedFrom = 0.3
+)
+
+// strain tells whether the process gets less processor time than its work needs,
+// from how long ready goroutines wait, and which part of the requests it has to
+// leave to other routers.
+type strain struct {
+	late time.Duration
+	// seen is the runtime's histogram at the last look.
+	seen []uint64
+	// share is the part of requests to refuse, in thousandths.
+	share atomic.Int64
+}
+
+// look takes in how long ready work waited.
+func (s *strain) look(late time.Duration) {
+	s.late += time.Duration(lateWeight * float64(late-s.late))
+	share := float64(s.share.Load()) / 1000
+	if s.late > strainLate {
+		share = min(strainMost, share+strainRise)
+	} else {
+		share = max(0, share-strainFall)
+	}
+	s.share.Store(int64(share * 1000))
+}
+
+// refuses decides whether a request of a workspace of this standing is refused.
+func (s *strain) refuses(standing float64) bool {
+	share := float64(s.share.Load()) / 1000
+	if share == 0 {
+		return false
+	}
+	if standing >= 1 {
+		share = max(0, share-spareBelow) / (1 - spareBelow)
+	}
+	return rand.Float64() < share
+}
+
+// high tells whether the process is strained.
+func (s *strain) high() bool { return s.share.Load() >= strainedFrom*1000 }
+
+// watchStrain looks how late the process is until the forwarder stops.
+func (f *Forwarder) watchStrain() {
+	ticks := time.NewTicker(strainTick)
+	defer ticks.Stop()
+	for {
+		select {
+		case <-ticks.C:
+		case <-f.ctx.Done():
+			return
+		}
+		was := f.strain.high()
+		f.strain.look(f.strain.waited())
+		if is := f.strain.high(); is != was {
+			f.log.Warn("processor time is short", zap.Bool("strained", is), zap.Duration("late", f.strain.late))
+		}
+	}
+}
+
+// latencies is the runtime's measure of how long goroutines were ready before
+// they ran.
+const latencies = "/sched/latencies:seconds"
+
+// waited returns how long ready goroutines waited since the last call.
+func (s *strain) waited() time.Duration {
+	sample := []runtimemetrics.Sample{{Name: latencies}}
+	runtimemetrics.Read(sample)
+	if sample[0].Value.Kind() != runtimemetrics.KindFloat64Histogram {
+		return 0
+	}
+	h := sample[0].Value.Float64Histogram()
+	late := quantile(h.Counts, s.seen, h.Buckets)
+	s.seen = append(s.seen[:0], h.Counts...)
+	return late
+}
+
+// quantile returns below what the late quantile of the counts added to before
+// lies. The bounds are in seconds.
+func quantile(counts, before []uint64, bounds []float64) time.Duration {
+	var total uint64
+	added := make([]uint64, len(counts))
+	for i, n := range counts {
+		added[i] = n
+		if i < len(before) {
+			added[i] -= before[i]
+		}
+		total += added[i]
+	}
+	left := uint64(lateQuantile * float64(total))
+	for i, n := range added {
+		if n > left {
+			return time.Duration(max(0, bounds[i]) * float64(time.Second))
+		}
+		left -= n
+	}
+	return 0
+}
+
+// standingOf returns the standing of the workspace that holds a key, as far as it
+// is known.
+func (f *Forwarder) standingOf(now identifier.Instant, key string) float64 {
+	s := f.board.snapshot.Load()
+	if s == nil {
+		return 1
+	}
+	w, ok := s.WorkspaceOf(key)
+	if !ok {
+		return 1
+	}
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	return f.board.sharer.Standing(now, w)
+}
--- /dev/null
+++ b/forwarder/summary.go
@@ -0,0 +1,133 @@
+package forwarder
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"buckthorndrum/admitter"
+	"buckthorndrum/identifier"
+	"buckthorndrum/sharer"
+)
+
+// Summary is what routers have under way. A decoded one must be checked.
+type Summary struct {
+	Loads map[identifier.Target]admitter.Load   `cbor:"1,keyasint,omitempty"`
+	Rates map[identifier.Workspace]sharer.Rates `cbor:"2,keyasint,omitempty"`
+}
+
+// Check reports whether a decoded summary is well formed.
+func (s Summary) Check() error {
+	for id, l := range s.Loads {
+		if l.Running < 0 || l.Unread < 0 || l.Memory < 0 {
+			return errors.Errorf("load of target %q is negative", id)
+		}
+	}
+	for w, r := range s.Rates {
+		if r.Asked < 0 || r.Given < 0 {
+			return errors.Errorf("rates of workspace %q are negative", w)
+		}
+	}
+	return nil
+}
+
+// Plus returns the sum of two summaries.
+func (s Summary) Plus(t Summary) Summary { return s.combine(t, 1) }
+
+// Without returns a sum without one of its parts.
+func (s Summary) Without(t Summary) Summary { return s.combine(t, -1) }
+
+// combine adds t, sign times. What would be negative is nothing.
+func (s Summary) combine(t Summary, sign int) Summary {
+	sum := Summary{
+		Loads: make(map[identifier.Target]admitter.Load, len(s.Loads)),
+		Rates: make(map[identifier.Workspace]sharer.Rates, len(s.Rates)),
+	}
+	for id, l := range s.Loads {
+		sum.Loads[id] = l
+	}
+	for w, r := range s.Rates {
+		sum.Rates[w] = r
+	}
+	for id, l := range t.Loads {
+		a := sum.Loads[id]
+		sum.Loads[id] = admitter.Load{Running: max(0, a.Running+sign*l.Running), Unread: max(0, a.Unread+sign*l.Unread), Memory: max(0, a.Memory+sign*l.Memory)}
+	}
+	for w, r := range t.Rates {
+		a := sum.Rates[w]
+		sum.Rates[w] = sharer.Rates{Asked: max(0, a.Asked+sign*r.Asked), Given: max(0, a.Given+sign*r.Given)}
+	}
+	return sum
+}
+
+// Status is how far a router has followed the store.
+type Status struct {
+	_ struct{} `cbor:",toarray"`
+	// Position is the store's revision up to which it knows all changes.
+	Position int64
+	// ProofAge is how long ago that was known to be all.
+	ProofAge time.Duration
+}
+
+// Summary returns what this router has under way.
+func (f *Forwarder) Summary(now identifier.Instant) Summary {
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	return Summary{Loads: f.board.admitter.Own(), Rates: f.board.sharer.Own(now)}
+}
+
+// Heard takes in what all other routers have under way.
+func (f *Forwarder) Heard(now identifier.Instant, others Summary, routers int) {
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	f.board.peers = routers
+	f.board.admitter.Heard(now, others.Loads)
+	f.board.sharer.Heard(now, others.Rates)
+}
+
+// Status returns how far this router has followed the store.
+func (f *Forwarder) Status(now identifier.Instant) Status {
+	return Status{Position: f.board.position.Load(), ProofAge: f.ProofAge(now)}
+}
+
+// ProofAge returns how old the proof is that this router knows all changes.
+func (f *Forwarder) ProofAge(now identifier.Instant) time.Duration {
+	return now.Sub(identifier.Instant(f.board.proved.Load()))
+}
+
+// Prove notes that at that instant the store had no change after a position that
+// this router does not know.
+func (f *Forwarder) Prove(at identifier.Instant, position int64) {
+	raise(&f.board.position, position)
+	raise(&f.board.proved, int64(at))
+}
+
+// Vouched takes in how far another router had followed the store at an instant.
+// It proves the configuration here if this router has got as far; otherwise what
+// follows the store is told.
+func (f *Forwarder) Vouched(at identifier.Instant, s Status) {
+	position := f.board.position.Load()
+	if s.Position > position {
+		select {
+		case f.behind <- s.Position:
+		default:
+		}
+		return
+	}
+	if s.Position > 0 {
+		f.Prove(at.Add(-s.ProofAge), position)
+	}
+}
+
+// Behind tells of positions of the store that other routers know and this one did
+// not.
+func (f *Forwarder) Behind() <-chan int64 { return f.behind }
+
+// fresh tells whether a key may still be relied on.
+func (f *Forwarder) fresh(now identifier.Instant) bool {
+	age := f.board.tunables.Load().ProofAge
+	if age <= 0 {
+		return true
+	}
+	return f.board.proved.Load() > 0 && f.ProofAge(now) <= age
+}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -17,14 +17,18 @@
 	"buckthorndrum/reporter"
 )
 
-// Reader is who is told what peers say, and asked what to say.
+// Reader is who is asked what to say, and told what the other routers say.
 type Reader interface {
-	// Summary returns what the peers are told.
+	// Summary returns what this router has under way.
 	Summary(now identifier.Instant) forwarder.Summary
-	// Heard takes in what a peer says.
-	Heard(now identifier.Instant, p identifier.Router, s forwarder.Summary)
-	// SetPeers takes in how many peers there are.
-	SetPeers(n int)
+	// Status returns how far this router has followed the configuration.
+	Status(now identifier.Instant) forwarder.Status
+	// Heard takes in what all others together have under way, and how many they
+	// are.
+	Heard(now identifier.Instant, others forwarder.Summary, routers int)
+	// Vouched takes in how far another router had followed the configuration at
+	// an instant.
+	Vouched(at identifier.Instant, s forwarder.Status)
 }
 
 // Config sets up an informer.
@@ -32,29 +36,14 @@
 	Self identifier.Router
 	// Listen is the UDP address, as host:port, on which peers are heard.
 	Listen string
+	// Weight orders the routers that are asked to be hubs, the highest first.
+	Weight int
 	Reader Reader
 	Log    *zap.Logger
 }
 
-const (
-	// every is the time between two messages.
-	every = 100 * time.Millisecond
-	// forgetAfter is when a peer that is not listed and says nothing is dropped.
-	forgetAfter = 5 * time.Second
-	// maxDatagram bounds a message, in bytes.
-	maxDatagram = 60 << 10
-)
-
-// peer is another router.
-type peer struct {
-	address netip.AddrPort
-	// listed tells that the list of routers names it.
-	listed bool
-	// incarnation and number are of the latest message, heard when it came.
-	incarnation identifier.Incarnation
-	number      uint64
-	heard       identifier.Instant
-}
+// maxDatagram bounds a message, in bytes.
+const maxDatagram = 60 << 10
 
 // Informer exchanges messages with the other routers.
 type Informer struct {
@@ -63,9 +52,11 @@
 	conn *net.UDPConn
 	log  *zap.Logger
 	mu   sync.Mutex
-	// peers holds those that are listed or were heard lately.
-	peers  map[identifier.Router]*peer
-	number uint64
+	x    *exchange
+	// totals is the number of the last total sent, isHub whether this router is to
+	// be a hub.
+	totals uint64
+	isHub  bool
 	// done is closed when the informer has stopped.
 	done chan struct{}
 }
@@ -80,7 +71,8 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for peers on %s", cfg.Listen)
 	}
-	i := &Informer{cfg: cfg, inc: identifier.NewIncarnation(), conn: conn, log: cfg.Log.Named("informer"), peers: map[identifier.Router]*peer{}, done: make(chan struct{})}
+	i := &Informer{cfg: cfg, inc: identifier.NewIncarnation(), conn: conn, log: cfg.Log.Named("informer"), x: newExchange(cfg.Self), isHub: true, done: make(chan struct{})}
+	i.x.weight = cfg.Weight
 	go i.listen()
 	go i.tell(ctx)
 	return i, nil
@@ -90,22 +82,21 @@
 func (i *Informer) Done() <-chan struct{} { return i.done }
 
 // SetPeers replaces the list of routers.
-func (i *Informer) SetPeers(list map[identifier.Router]netip.AddrPort) {
+func (i *Informer) SetPeers(list map[identifier.Router]Peer) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	for id, p := range i.peers {
-		p.listed = list[id].IsValid()
-	}
-	for id, address := range list {
-		if id == i.cfg.Self {
-			continue
-		}
-		if p := i.peers[id]; p != nil {
-			p.address = address
-			continue
-		}
-		i.peers[id] = &peer{address: address, listed: true}
+	own := make(map[identifier.Router]Peer, len(list))
+	for id, p := range list {
+		own[id] = p
 	}
+	i.x.list(own)
+}
+
+// IsHub tells whether this router is one of those that the others report to.
+func (i *Informer) IsHub() bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.isHub
 }
 
 func (i *Informer) listen() {
@@ -124,37 +115,34 @@
 			i.log.Warn("message not understood", zap.Stringer("peer", from), reporter.Error(err))
 			continue
 		}
-		if now := clocker.Now(); i.newest(now, m, from) {
-			i.cfg.Reader.Heard(now, m.From, m.Summary)
-		}
+		i.take(clocker.Now(), m, from)
 	}
 }
 
-// newest tells whether a message is later than all before it from its sender.
-func (i *Informer) newest(now identifier.Instant, m message, from netip.AddrPort) bool {
-	if m.From == i.cfg.Self {
-		return false
-	}
+func (i *Informer) take(now identifier.Instant, m message, from netip.AddrPort) {
 	i.mu.Lock()
-	defer i.mu.Unlock()
-	p := i.peers[m.From]
-	if p == nil {
-		p = &peer{}
-		i.peers[m.From] = p
+	if !m.isTotal() {
+		i.x.reported(now, m, from)
+		i.mu.Unlock()
+		return
+	}
+	others, at, believed := i.x.told(now, m)
+	i.mu.Unlock()
+	if at > 0 {
+		i.cfg.Reader.Vouched(at, m.Status)
 	}
-	if p.incarnation == m.Incarnation && m.Number <= p.number {
-		return false
+	if believed {
+		i.cfg.Reader.Heard(now, others, m.Routers-1)
 	}
-	p.address, p.incarnation, p.number, p.heard = from, m.Incarnation, m.Number, now
-	return true
 }
 
 func (i *Informer) tell(ctx context.Context) {
-	ticks := time.NewTicker(every)
-	defer ticks.Stop()
 	for {
+		i.mu.Lock()
+		pause := i.x.every()
+		i.mu.Unlock()
 		select {
-		case <-ticks.C:
+		case <-time.After(pause):
 			i.tellOnce(clocker.Now())
 		case <-ctx.Done():
 			_ = i.conn.Close()
@@ -163,36 +151,57 @@
 	}
 }
 
+// tellOnce reports to the hubs, and tells those who report here the total.
 func (i *Informer) tellOnce(now identifier.Instant) {
-	i.number++
-	raw, err := cbor.Marshal(message{From: i.cfg.Self, Incarnation: i.inc, Number: i.number, Summary: i.cfg.Reader.Summary(now)})
-	if err != nil || len(raw) > maxDatagram {
-		i.log.Error("message not sent", zap.Int("bytes", len(raw)), reporter.Error(err))
-		return
+	own, status := i.cfg.Reader.Summary(now), i.cfg.Reader.Status(now)
+	i.mu.Lock()
+	to, isHub := i.x.chosen(now)
+	i.isHub = isHub
+	number := i.x.reporting(now, to, own)
+	addresses := make([]netip.AddrPort, len(to))
+	for n, id := range to {
+		addresses[n] = i.x.listed[id].Address
 	}
-	addresses, live := i.addresses(now)
-	i.cfg.Reader.SetPeers(live)
+	live := i.x.live(now)
+	believed := isHub && i.x.believes(now, i.cfg.Self, len(live)+1)
+	i.mu.Unlock()
+
+	m := message{From: i.cfg.Self, Incarnation: i.inc, Number: number, Summary: own, Status: status}
 	for _, a := range addresses {
-		_, _ = i.conn.WriteToUDPAddrPort(raw, a)
+		i.send(m, a)
 	}
+	i.total(now, m, live, believed)
 }
 
-// addresses returns where to send, and how many peers were heard lately.
-func (i *Informer) addresses(now identifier.Instant) ([]netip.AddrPort, int) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	live := 0
-	list := make([]netip.AddrPort, 0, len(i.peers))
-	for id, p := range i.peers {
-		quiet := p.heard == 0 || now.Sub(p.heard) > forgetAfter
-		if quiet && !p.listed {
-			delete(i.peers, id)
-			continue
+// total adds up all reports and tells those who sent them.
+func (i *Informer) total(now identifier.Instant, own message, live []*report, believed bool) {
+	if len(live) == 0 {
+		if believed {
+			i.cfg.Reader.Heard(now, forwarder.Summary{}, 0)
 		}
-		if !quiet {
-			live++
-		}
-		list = append(list, p.address)
+		return
+	}
+	others := forwarder.Summary{}
+	for _, r := range live {
+		others = others.Plus(r.Summary)
+	}
+	if believed {
+		i.cfg.Reader.Heard(now, others, len(live))
+	}
+	i.totals++
+	own.Number, own.Summary, own.Routers = i.totals, others.Plus(own.Summary), len(live)+1
+	for _, r := range live {
+		own.Echo = r.Number
+		i.send(own, r.address)
+	}
+}
+
+func (i *Informer) send(m message, to netip.AddrPort) {
+	raw, err := cbor.Marshal(m)
+	if err != nil || len(raw) > maxDatagram {
+		i.log.Error("message not sent", zap.Stringer("peer", to), zap.Int("bytes", len(raw)), reporter.Error(err))
+		return
 	}
-	return list, live
+	// What cannot be sent now is made up for by the next message.
+	_, _ = i.conn.WriteToUDPAddrPort(raw, to)
 }
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -20,19 +20,22 @@
 
 // reader keeps what it is told.
 type reader struct {
-	mu    sync.Mutex
-	says  forwarder.Summary
-	heard map[identifier.Router]forwarder.Summary
-	peers int
+	mu      sync.Mutex
+	says    forwarder.Summary
+	others  forwarder.Summary
+	routers int
+	vouched forwarder.Status
 }
 
 func newReader(running int) *reader {
-	return &reader{
-		heard: map[identifier.Router]forwarder.Summary{},
-		says: forwarder.Summary{
-			Loads: map[identifier.Target]admitter.Load{"t": {Running: running}},
-			Rates: map[identifier.Workspace]sharer.Rates{"w": {Asked: 2, Given: 1}},
-		},
+	return &reader{says: running1(running)}
+}
+
+// running1 is a summary with so many requests at target t.
+func running1(n int) forwarder.Summary {
+	return forwarder.Summary{
+		Loads: map[identifier.Target]admitter.Load{"t": {Running: n}},
+		Rates: map[identifier.Workspace]sharer.Rates{"w": {Asked: 2 * n, Given: n}},
 	}
 }
 
@@ -42,83 +45,173 @@
 	return r.says
 }
 
-func (r *reader) Heard(_ identifier.Instant, p identifier.Router, s forwarder.Summary) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.heard[p] = s
-}
+func (r *reader) Status(identifier.Instant) forwarder.Status { return forwarder.Status{Position: 9} }
 
-func (r *reader) SetPeers(n int) {
+func (r *reader) Heard(_ identifier.Instant, others forwarder.Summary, routers int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.peers = n
+	r.others, r.routers = others, routers
 }
 
-func (r *reader) of(p identifier.Router) int {
+func (r *reader) Vouched(_ identifier.Instant, s forwarder.Status) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.heard[p].Loads["t"].Running
+	r.vouched = s
 }
 
-func (r *reader) count() int {
+// state returns what others run, how many they are and how far one has vouched.
+func (r *reader) state() [3]int {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.peers
+	return [3]int{r.others.Loads["t"].Running, r.routers, int(r.vouched.Position)}
 }
 
-func start(t *testing.T, ctx context.Context, self identifier.Router, r *reader) (*Informer, netip.AddrPort) {
+// fleet starts a router for each running count, and tells all of all.
+func fleet(t *testing.T, ctx context.Context, running ...int) ([]*Informer, []*reader) {
 	t.Helper()
-	i, err := Start(ctx, Config{Self: self, Listen: "127.0.0.1:0", Reader: r, Log: zap.NewNop()})
-	if err != nil {
-		t.Fatal(err)
+	informers, readers := make([]*Informer, len(running)), make([]*reader, len(running))
+	list := map[identifier.Router]Peer{}
+	for n, r := range running {
+		readers[n] = newReader(r)
+		id := identifier.Router('a' + rune(n))
+		i, err := Start(ctx, Config{Self: id, Listen: "127.0.0.1:0", Weight: 100 - n, Reader: readers[n], Log: zap.NewNop()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		informers[n] = i
+		list[id] = Peer{Address: i.conn.LocalAddr().(*net.UDPAddr).AddrPort(), Weight: 100 - n}
+	}
+	for _, i := range informers {
+		i.SetPeers(list)
 	}
-	return i, i.conn.LocalAddr().(*net.UDPAddr).AddrPort()
+	return informers, readers
 }
 
-// One side that knows the other is enough for both to hear each other.
-func TestRoutersTellEachOther(t *testing.T) {
+func TestEachKnowsWhatAllOthersHave(t *testing.T) {
 	g := NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	a, b := newReader(3), newReader(5)
-	ia, _ := start(t, ctx, "a", a)
-	ib, address := start(t, ctx, "b", b)
-	ia.SetPeers(map[identifier.Router]netip.AddrPort{"a": address, "b": address})
-	g.Eventually(func() int { return b.of("a") }, "2s").Should(Equal(3))
-	g.Eventually(func() int { return a.of("b") }, "2s").Should(Equal(5))
-	g.Eventually(a.count, "2s").Should(Equal(1))
+	informers, readers := fleet(t, ctx, 1, 2, 4, 8)
+	for n, own := range []int{1, 2, 4, 8} {
+		g.Eventually(readers[n].state, "3s").Should(Equal([3]int{15 - own, 3, 9}), "router %d", n)
+	}
+	g.Expect([]bool{informers[0].IsHub(), informers[1].IsHub(), informers[2].IsHub()}).To(Equal([]bool{true, true, false}))
 	cancel()
-	g.Eventually(ia.Done(), "2s").Should(BeClosed())
-	g.Eventually(ib.Done(), "2s").Should(BeClosed())
+	for _, i := range informers {
+		g.Eventually(i.Done(), "2s").Should(BeClosed())
+	}
+}
+
+func TestNextRouterBecomesHub(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	informers, readers := fleet(t, ctx, 1, 2, 4, 8)
+	g.Eventually(readers[3].state, "3s").Should(Equal([3]int{7, 3, 9}))
+	_ = informers[0].conn.Close()
+	_ = informers[1].conn.Close()
+	g.Eventually(readers[3].state, "5s").Should(Equal([3]int{4, 1, 9}))
+	g.Expect(informers[2].IsHub()).To(BeTrue())
+}
+
+func TestLoneRouterHearsOfNobody(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	informers, readers := fleet(t, ctx, 3)
+	g.Consistently(readers[0].state, "300ms").Should(Equal([3]int{0, 0, 0}))
+	g.Expect(informers[0].IsHub()).To(BeTrue())
 }
 
-func TestOldMessagesAreIgnored(t *testing.T) {
+const second = identifier.Instant(time.Second)
+
+var anyAddress = netip.MustParseAddrPort("127.0.0.1:9")
+
+func newTestExchange() *exchange {
+	x := newExchange("c")
+	x.list(map[identifier.Router]Peer{"a": {Weight: 2}, "b": {Weight: 1}, "c": {}})
+	return x
+}
+
+func TestOldReportsAreIgnored(t *testing.T) {
 	g := NewWithT(t)
-	i := &Informer{cfg: Config{Self: "a"}, peers: map[identifier.Router]*peer{}}
-	from := netip.MustParseAddrPort("127.0.0.1:9")
-	g.Expect(i.newest(1, message{From: "b", Incarnation: 4, Number: 7}, from)).To(BeTrue())
-	g.Expect(i.newest(1, message{From: "b", Incarnation: 4, Number: 7}, from)).To(BeFalse())
-	g.Expect(i.newest(1, message{From: "b", Incarnation: 4, Number: 6}, from)).To(BeFalse())
-	g.Expect(i.newest(1, message{From: "b", Incarnation: 9, Number: 1}, from)).To(BeTrue(), "it has started anew")
-	g.Expect(i.newest(1, message{From: "a", Incarnation: 4, Number: 1}, from)).To(BeFalse(), "it is its own")
+	x := newTestExchange()
+	report := func(inc identifier.Incarnation, n uint64) uint64 {
+		x.reported(second, message{From: "b", Incarnation: inc, Number: n}, anyAddress)
+		return x.reports["b"].Number
+	}
+	g.Expect(report(4, 7)).To(BeEquivalentTo(7))
+	g.Expect(report(4, 6)).To(BeEquivalentTo(7))
+	g.Expect(report(9, 1)).To(BeEquivalentTo(1), "it has started anew")
+	x.reported(second, message{From: "c", Incarnation: 4, Number: 1}, anyAddress)
+	g.Expect(x.live(second)).To(HaveLen(1), "its own is none")
+	g.Expect(x.live(second.Add(2 * reportLife))).To(BeEmpty())
 }
 
-func TestSilentPeersAreDropped(t *testing.T) {
+// A total counts from the report that it echoes, and its proof from when that was
+// sent, since nobody knows how long the total was on its way.
+func TestTotalCountsFromItsEcho(t *testing.T) {
 	g := NewWithT(t)
-	i := &Informer{cfg: Config{Self: "a"}, peers: map[identifier.Router]*peer{}}
-	from := netip.MustParseAddrPort("127.0.0.1:9")
-	now := identifier.Instant(time.Hour)
-	i.newest(now, message{From: "b", Incarnation: 4, Number: 7}, from)
-	i.SetPeers(map[identifier.Router]netip.AddrPort{"c": from})
-	list, live := i.addresses(now)
-	g.Expect(list).To(HaveLen(2))
-	g.Expect(live).To(Equal(1))
-	list, live = i.addresses(now.Add(2 * forgetAfter))
-	g.Expect(list).To(HaveLen(1), "the listed one may only be out of reach")
-	g.Expect(live).To(BeZero())
+	x := newTestExchange()
+	to, isHub := x.chosen(second)
+	g.Expect(to).To(Equal([]identifier.Router{"a", "b"}))
+	g.Expect(isHub).To(BeFalse())
+	first := x.reporting(second, to, running1(3))
+	x.reporting(2*second, to, running1(5))
+	total := message{From: "a", Incarnation: 1, Number: 1, Routers: 3, Summary: running1(10), Echo: first}
+	others, at, ok := x.told(5*second/2, total)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(at).To(Equal(second))
+	g.Expect(others.Loads["t"].Running).To(Equal(7))
+	_, _, ok = x.told(5*second/2, total)
+	g.Expect(ok).To(BeFalse(), "it came twice")
+	total.Number, total.Echo = 2, 99
+	_, at, ok = x.told(5*second/2, total)
+	g.Expect(ok || at > 0).To(BeFalse(), "it echoes a report that was never sent")
+	_, _, ok = x.told(5*second/2, message{From: "z", Incarnation: 1, Number: 1, Routers: 3, Echo: first})
+	g.Expect(ok).To(BeFalse(), "it is nobody's that was asked")
+}
+
+func TestFullestTotalIsBelieved(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestExchange()
+	to, _ := x.chosen(second)
+	n := x.reporting(second, to, running1(1))
+	_, _, ok := x.told(second, message{From: "a", Incarnation: 1, Number: 1, Routers: 5, Echo: n})
+	g.Expect(ok).To(BeTrue())
+	_, _, ok = x.told(second, message{From: "b", Incarnation: 1, Number: 1, Routers: 2, Echo: n})
+	g.Expect(ok).To(BeFalse())
+	_, _, ok = x.told(second.Add(2*totalLife), message{From: "b", Incarnation: 1, Number: 2, Routers: 2, Echo: n})
+	g.Expect(ok).To(BeTrue(), "the other one is silent")
+}
+
+func TestSilentHubIsPassedOver(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestExchange()
+	now := second
+	to, _ := x.chosen(now)
+	x.reporting(now, to, running1(1))
+	now = now.Add(2 * silentAfter)
+	to, isHub := x.chosen(now)
+	g.Expect(to).To(BeEmpty())
+	g.Expect(isHub).To(BeTrue(), "it is the only one left")
+	to, _ = x.chosen(now.Add(2 * retryAfter))
+	g.Expect(to).To(HaveLen(2), "they are tried again")
+}
+
+func TestPaceFollowsTheFleet(t *testing.T) {
+	g := NewWithT(t)
+	x := newExchange("a")
+	g.Expect(x.every()).To(Equal(minEvery))
+	list := map[identifier.Router]Peer{}
+	for n := 0; n < 1000; n++ {
+		list[identifier.Router(rune(n))] = Peer{}
+	}
+	x.list(list)
+	g.Expect(x.every()).To(Equal(maxEvery))
 }
 
 func FuzzDecode(f *testing.F) {
-	raw, err := cbor.Marshal(message{From: "a", Incarnation: 1, Summary: newReader(1).says})
+	raw, err := cbor.Marshal(message{From: "a", Incarnation: 1, Summary: running1(1), Routers: 2, Echo: 1})
 	if err != nil {
 		f.Fatal(err)
 	}
@@ -128,10 +221,11 @@
 		if err != nil {
 			return
 		}
-		for id, l := range m.Summary.Loads {
-			if l.Running < 0 || l.Unread < 0 || l.Memory < 0 {
-				t.Fatalf("load of %s is %+v", id, l)
-			}
+		x := newTestExchange()
+		x.reported(second, m, anyAddress)
+		x.told(second, m)
+		if err := m.Summary.Without(m.Summary.Plus(m.Summary)).Check(); err != nil {
+			t.Fatal(err)
 		}
 	})
 }
--- a/informer/message.go
+++ b/informer/message.go
@@ -4,37 +4,40 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/pkg/errors"
 
-	"buckthorndrum/admitter"
 	"buckthorndrum/forwarder"
 	"buckthorndrum/identifier"
 )
 
-// message is one datagram.
+// message is one datagram: a report of a router to a hub, or the total that a
+// hub tells a router.
 type message struct {
 	// From is the sender, and Incarnation its run.
 	From        identifier.Router      `cbor:"1,keyasint"`
 	Incarnation identifier.Incarnation `cbor:"2,keyasint"`
 	// Number rises with each message of an incarnation.
-	Number  uint64            `cbor:"3,keyasint"`
+	Number uint64 `cbor:"3,keyasint"`
+	// Summary is of the sender in a report, and of all routers in a total.
 	Summary forwarder.Summary `cbor:"4,keyasint"`
+	// Status is the sender's.
+	Status forwarder.Status `cbor:"5,keyasint"`
+	// Echo is set in a total: the latest report of the receiver that is in it.
+	Echo uint64 `cbor:"6,keyasint,omitempty"`
+	// Routers is set in a total: how many routers are in it.
+	Routers int `cbor:"7,keyasint,omitempty"`
 }
 
+// isTotal tells a total from a report.
+func (m message) isTotal() bool { return m.Routers > 0 }
+
 // check reports whether a decoded message is well formed.
 func (m message) check() error {
 	if m.From == "" || m.Incarnation == 0 {
 		return errors.New("message does not say who sent it")
 	}
-	for id, l := range m.Summary.Loads {
-		if l.Running < 0 || l.Unread < 0 || l.Memory < 0 {
-			return errors.Errorf("load of target %q is negative: %+v", id, admitter.Load{Running: l.Running, Unread: l.Unread, Memory: l.Memory})
-		}
-	}
-	for w, r := range m.Summary.Rates {
-		if r.Asked < 0 || r.Given < 0 {
-			return errors.Errorf("rates of workspace %q are negative", w)
-		}
+	if m.Routers < 0 || m.Status.ProofAge < 0 {
+		return errors.Errorf("message of router %q has a negative count or age", m.From)
 	}
-	return nil
+	return m.Summary.Check()
 }
 
 func decode(raw []byte) (message, error) {
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -21,7 +21,9 @@
 	// capacity is what is shared, in tokens a second, zero for no limit.
 	capacity float64
 	own      map[identifier.Workspace]*usage
-	peers    map[identifier.Router]*peer
+	// others is what all other routers have seen, heard when they said so.
+	others map[identifier.Workspace]Rates
+	heard  identifier.Instant
 	// level is the share of each workspace that asks for more, in tokens a
 	// second, worked out at the instant worked.
 	level  float64
@@ -30,22 +32,16 @@
 
 type usage struct{ asked, given rate }
 
-// peer is what another router said last.
-type peer struct {
-	rates map[identifier.Workspace]Rates
-	heard identifier.Instant
-}
-
 const (
-	// peerLife is how long a peer's rates count.
-	peerLife = 2 * time.Second
+	// othersLife is how long what others said counts.
+	othersLife = 2 * time.Second
 	// workEvery is how often the level is worked out.
 	workEvery = 100 * time.Millisecond
 )
 
 // New returns a sharer without a limit.
 func New() *Sharer {
-	return &Sharer{own: map[identifier.Workspace]*usage{}, peers: map[identifier.Router]*peer{}, level: math.Inf(1)}
+	return &Sharer{own: map[identifier.Workspace]*usage{}, level: math.Inf(1)}
 }
 
 // SetCapacity replaces the rate that is shared, in tokens a second; zero is no
@@ -89,9 +85,9 @@
 	return rates
 }
 
-// Heard notes the rates that peer p has seen.
-func (s *Sharer) Heard(now identifier.Instant, p identifier.Router, rates map[identifier.Workspace]Rates) {
-	s.peers[p] = &peer{rates: rates, heard: now}
+// Heard notes the rates that all other routers have seen.
+func (s *Sharer) Heard(now identifier.Instant, rates map[identifier.Workspace]Rates) {
+	s.others, s.heard = rates, now
 }
 
 // Standing returns 1 for a workspace that has been given no more than its share,
@@ -119,21 +115,17 @@
 	if u := s.own[w]; u != nil {
 		sum = u.rates(now)
 	}
-	for _, p := range s.peers {
-		r := p.rates[w]
-		sum.Asked += r.Asked
-		sum.Given += r.Given
-	}
+	r := s.others[w]
+	sum.Asked += r.Asked
+	sum.Given += r.Given
 	return sum
 }
 
 // work finds the level at which the shares of all workspaces fill the capacity.
 func (s *Sharer) work(now identifier.Instant) {
 	s.worked = now
-	for id, p := range s.peers {
-		if now.Sub(p.heard) > peerLife {
-			delete(s.peers, id)
-		}
+	if now.Sub(s.heard) > othersLife {
+		s.others = nil
 	}
 	s.level = math.Inf(1)
 	if s.capacity <= 0 {
@@ -148,10 +140,8 @@
 	for w := range s.own {
 		spaces[w] = true
 	}
-	for _, p := range s.peers {
-		for w := range p.rates {
-			spaces[w] = true
-		}
+	for w := range s.others {
+		spaces[w] = true
 	}
 	asked := make([]float64, 0, len(spaces))
 	for w := range spaces {
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -1,7 +1,6 @@
 package sharer
 
 import (
-	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -67,21 +66,19 @@
 }
 
 // A router sees only a part of each workspace, so that the peers' rates count.
-func TestPeersCountUntilTheyAreSilent(t *testing.T) {
+func TestOthersCountUntilTheyAreSilent(t *testing.T) {
 	g := NewWithT(t)
 	s := New()
 	s.SetCapacity(1000)
 	steady(s, second, 4*second, map[identifier.Workspace]Rates{"a": {Asked: 300, Given: 300}, "b": {Asked: 500, Given: 100}})
 	now := 4 * second
 	g.Expect(s.Standing(now, "a")).To(Equal(1.0))
-	for i := 0; i < 5; i++ {
-		s.Heard(now, identifier.Router(fmt.Sprint(i)), map[identifier.Workspace]Rates{"a": {Asked: 300, Given: 300}})
-	}
+	s.Heard(now, map[identifier.Workspace]Rates{"a": {Asked: 1500, Given: 1500}})
 	now += second / 5
 	g.Expect(s.Standing(now, "a")).To(BeNumerically("<", 0.4))
 	now += 3 * second
 	g.Expect(s.Standing(now, "a")).To(Equal(1.0))
-	g.Expect(s.peers).To(BeEmpty())
+	g.Expect(s.others).To(BeEmpty())
 }
 
 func TestNoLimitMeansNoShare(t *testing.T) {
