--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -50,7 +50,7 @@
 // ServeHTTP serves one caller's request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{w: w, r: r, arrived: clocker.Now(), seed: rand.Uint64()}
-	if f.board.stopping.Load() || f.callers.crowded() || f.strain.high() {
+	if f.board.stopping.Load() || f.callers.crowded() || f.strain.sendsAway(c.arrived) {
 		w.Header().Set("Connection", "close")
 	}
 	c.facts = f.cfg.Dialect.Read(r.Header)
--- a/forwarder/strain.go
+++ b/forwarder/strain.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
 )
 
@@ -30,8 +31,15 @@
 	// spareBelow is the share below which only requests beyond their workspace's
 	// share are refused.
 	spareBelow = 0.6
-	// strainedFrom is the share from which the router counts as strained.
+	// strainedFrom is the share from which the router counts as strained, until
+	// nothing is refused any more.
 	strainedFrom = 0.3
+	// leadFactor bounds how much faster the share rises when the process is late
+	// by more than strainLate.
+	leadFactor = 4
+	// turnedAway is how long after a router has said that it is not ready its
+	// callers' new connections go elsewhere.
+	turnedAway = 2500 * time.Millisecond
 )
 
 // strain tells whether the process gets less processor time than its work needs,
@@ -43,18 +51,27 @@
 	seen []uint64
 	// share is the part of requests to refuse, in thousandths.
 	share atomic.Int64
+	// since is since when the process is strained, as an Instant, zero if it is not.
+	since atomic.Int64
 }
 
 // look takes in how long ready work waited.
-func (s *strain) look(late time.Duration) {
+func (s *strain) look(now identifier.Instant, late time.Duration) {
 	s.late += time.Duration(lateWeight * float64(late-s.late))
 	share := float64(s.share.Load()) / 1000
 	if s.late > strainLate {
-		share = min(strainMost, share+strainRise)
+		lead := min(leadFactor, float64(s.late)/float64(strainLate))
+		share = min(strainMost, share+strainRise*lead)
 	} else {
 		share = max(0, share-strainFall)
 	}
 	s.share.Store(int64(share * 1000))
+	switch {
+	case share >= strainedFrom && s.since.Load() == 0:
+		s.since.Store(int64(now))
+	case s.share.Load() == 0:
+		s.since.Store(0)
+	}
 }
 
 // refuses decides whether a request of a workspace of this standing is refused.
@@ -70,7 +87,14 @@
 }
 
 // high tells whether the process is strained.
-func (s *strain) high() bool { return s.share.Load() >= strainedFrom*1000 }
+func (s *strain) high() bool { return s.since.Load() != 0 }
+
+// sendsAway tells whether callers that connect anew reach other routers, so that
+// they are asked to. Before that they would only come back at a higher price.
+func (s *strain) sendsAway(now identifier.Instant) bool {
+	since := identifier.Instant(s.since.Load())
+	return since != 0 && now.Sub(since) > turnedAway
+}
 
 // watchStrain looks how late the process is until the forwarder stops.
 func (f *Forwarder) watchStrain() {
@@ -83,7 +107,7 @@
 			return
 		}
 		was := f.strain.high()
-		f.strain.look(f.strain.waited())
+		f.strain.look(clocker.Now(), f.strain.waited())
 		if is := f.strain.high(); is != was {
 			f.log.Warn("processor time is short", zap.Bool("strained", is), zap.Duration("late", f.strain.late))
 		}
