sharer: nobody runs away from a needy workspace

Change: a workspace gets nothing more while it has 1.7 times what one has that for 1.5 s got less than half of what it asks for and asks for as much; refusals for want of processor time count as asked.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -42,6 +42,8 @@
 	NoTarget Refusal = "no target takes work"
 	// Busy means that every target would keep it waiting beyond its limit.
 	Busy Refusal = "targets are busy"
+	// BeyondShare means that its workspace has too much more than others.
+	BeyondShare Refusal = "workspace is beyond its share"
 )
 
 // Choice is where a request goes, or why it goes nowhere.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -31,6 +31,8 @@
 	runs  int
 	sends int
 	tried []identifier.Target
+	// asked tells that the request was noted as asked for.
+	asked bool
 	// stream is the answer's stream so far, nil before it began.
 	stream *stream
 	// seed spreads requests without a prompt.
@@ -55,7 +57,7 @@
 	}
 	c.facts = f.cfg.Dialect.Read(r.Header)
 	defer f.ended(c)
-	if f.strain.refuses(f.standingOf(c.arrived, c.facts.Key)) {
+	if f.strain.refuses(f.standingOf(c)) {
 		f.end(c, ending{status: http.StatusServiceUnavailable, reason: "This router is short of processor time.", retryAfter: minRetryAfter})
 		return
 	}
@@ -189,7 +191,7 @@
 
 // asked notes what the workspace asks for.
 func (f *Forwarder) asked(now identifier.Instant, c *call) {
-	if size := c.size(); size > 0 {
+	if size := c.size(); size > 0 && !c.asked {
 		f.board.mu.Lock()
 		f.board.sharer.Asked(now, c.workspace, size)
 		f.board.mu.Unlock()
@@ -231,7 +233,10 @@
 	}
 	q.Within = standing >= 1
 	q.Limit = limit(c.route.Aim, standing)
-	choice := f.board.admitter.Choose(now, q)
+	choice := admitter.Choice{Refused: admitter.BeyondShare, Wait: time.Second}
+	if standing >= 1 || !f.board.sharer.Excessive(now, c.workspace) {
+		choice = f.board.admitter.Choose(now, q)
+	}
 	c.standing, c.limit, c.choice = standing, q.Limit, choice
 	if choice.Refused != "" {
 		return nil, f.truth(c, refused(choice))
--- a/forwarder/strain.go
+++ b/forwarder/strain.go
@@ -153,18 +153,22 @@
 	return 0
 }
 
-// standingOf returns the standing of the workspace that holds a key, as far as it
-// is known.
-func (f *Forwarder) standingOf(now identifier.Instant, key string) float64 {
+// standingOf returns the standing of the workspace that a request is of, as far as
+// it is known. A request that the router may have to leave to others is noted as
+// asked for, so that its workspace counts as needy.
+func (f *Forwarder) standingOf(c *call) float64 {
 	s := f.board.snapshot.Load()
-	if s == nil {
+	if s == nil || f.strain.share.Load() == 0 {
 		return 1
 	}
-	w, ok := s.WorkspaceOf(key)
+	w, ok := s.WorkspaceOf(c.facts.Key)
 	if !ok {
 		return 1
 	}
+	c.workspace = w
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
-	return f.board.sharer.Standing(now, w)
+	c.asked = true
+	f.board.sharer.Asked(c.arrived, w, c.size())
+	return f.board.sharer.Standing(c.arrived, w)
 }
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -28,6 +28,11 @@
 	// second, worked out at the instant worked.
 	level  float64
 	worked identifier.Instant
+	// needy holds since when a workspace is given less than half of what it asks
+	// for.
+	needy map[identifier.Workspace]identifier.Instant
+	// kept are those for which that has lasted, with what they have.
+	kept []Rates
 }
 
 type usage struct{ asked, given rate }
@@ -41,7 +46,7 @@
 
 // New returns a sharer without a limit.
 func New() *Sharer {
-	return &Sharer{own: map[identifier.Workspace]*usage{}, level: math.Inf(1)}
+	return &Sharer{own: map[identifier.Workspace]*usage{}, level: math.Inf(1), needy: map[identifier.Workspace]identifier.Instant{}}
 }
 
 // SetCapacity replaces the rate that is shared, in tokens a second; zero is no
@@ -103,6 +108,46 @@
 	return s.level / given
 }
 
+// Excessive tells whether workspace w has so much more than a needy one that
+// nothing is to be given to it, even where there is room.
+func (s *Sharer) Excessive(now identifier.Instant, w identifier.Workspace) bool {
+	if s.worked == 0 || now.Sub(s.worked) >= workEvery {
+		s.work(now)
+	}
+	given := float64(s.total(now, w).Given)
+	for _, r := range s.kept {
+		if float64(r.Asked) >= given && given > lead*float64(r.Given) {
+			return true
+		}
+	}
+	return false
+}
+
+const (
+	// lead is how many times what a needy workspace has another may have, if the
+	// needy one asks for as much.
+	lead = 1.7
+	// needyAfter is how long a workspace must have been given less than half of
+	// what it asks for to count as needy.
+	needyAfter = 1500 * time.Millisecond
+)
+
+// noteNeed notes whether a workspace is given less than half of what it asks for.
+func (s *Sharer) noteNeed(now identifier.Instant, w identifier.Workspace, r Rates) {
+	if r.Asked <= 2*r.Given || r.Asked == 0 {
+		delete(s.needy, w)
+		return
+	}
+	since, known := s.needy[w]
+	if !known {
+		s.needy[w] = now
+		return
+	}
+	if now.Sub(since) >= needyAfter {
+		s.kept = append(s.kept, r)
+	}
+}
+
 // Level returns the share of a workspace that asks for more, in tokens a second,
 // infinite if nobody does.
 func (s *Sharer) Level(now identifier.Instant) float64 {
@@ -131,11 +176,13 @@
 	if s.capacity <= 0 {
 		return
 	}
-	s.level = fill(s.asked(now), s.capacity)
+	s.kept = s.kept[:0]
+	s.level = fill(s.wants(now), s.capacity)
 }
 
-// asked returns what each workspace asks for, in tokens a second.
-func (s *Sharer) asked(now identifier.Instant) []float64 {
+// wants returns what each workspace asks for, in tokens a second, and notes which
+// are needy.
+func (s *Sharer) wants(now identifier.Instant) []float64 {
 	spaces := map[identifier.Workspace]bool{}
 	for w := range s.own {
 		spaces[w] = true
@@ -143,9 +190,16 @@
 	for w := range s.others {
 		spaces[w] = true
 	}
+	for w := range s.needy {
+		if !spaces[w] {
+			delete(s.needy, w)
+		}
+	}
 	asked := make([]float64, 0, len(spaces))
 	for w := range spaces {
-		asked = append(asked, float64(s.total(now, w).Asked))
+		r := s.total(now, w)
+		asked = append(asked, float64(r.Asked))
+		s.noteNeed(now, w, r)
 	}
 	return asked
 }
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -65,6 +65,27 @@
 	g.Expect(s.Standing(now, "large")).To(BeNumerically("~", 0.5, 0.05))
 }
 
+// What keeps a workspace back may be no want of capacity, but a router that is
+// short of processor time (karakoram-grown scale-1, trouble-3: FAIR).
+func TestNobodyRunsAwayFromOneThatIsHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	s := New()
+	s.SetCapacity(100)
+	rates := map[identifier.Workspace]Rates{
+		"held": {Asked: 4800, Given: 300}, "a": {Asked: 2000, Given: 660}, "b": {Asked: 2000, Given: 640}, "c": {Asked: 2000, Given: 450},
+		"small": {Asked: 200, Given: 90},
+	}
+	for at := second; at < 5*second; at += second / 10 {
+		steady(s, at, at+second/10, rates)
+		s.Excessive(at, "a")
+	}
+	excessive := func(w identifier.Workspace) bool { return s.Excessive(5*second, w) }
+	g.Expect([]bool{excessive("a"), excessive("b"), excessive("c"), excessive("held")}).To(Equal([]bool{true, true, false, false}))
+	delete(rates, "held")
+	steady(s, 5*second, 9*second, rates)
+	g.Expect(s.Excessive(9*second, "b")).To(BeFalse(), "a small one needs no more than it asks for")
+}
+
 // A router sees only a part of each workspace, so that the peers' rates count.
 func TestOthersCountUntilTheyAreSilent(t *testing.T) {
 	g := NewWithT(t)
