--- a/cmd/buckthorndrum/main_test.go
+++ b/cmd/buckthorndrum/main_test.go
@@ -29,6 +29,10 @@
 		{"check -config testdata/document-bad.json", exitSettings, []string{"document-bad.json", "kinds[0].pool", "kinds[0].share", "operators"}},
 		{"router -settings testdata/router-bad-address.json", exitSettings, []string{"nowhere"}},
 		{"config get -url http://127.0.0.1:1", exitFailure, []string{"/v1/config"}},
+		{"check -boot ../../platform/testdata/settings.conf -operator-config ../../platform/testdata/config.json", exitOK, []string{"valid platform settings", "valid platform configuration, version 7"}},
+		{"check -boot ../../platform/testdata/config.json", exitSettings, []string{"config.json", "field node_name"}},
+		{"check -operator-config ../../platform/testdata/settings.conf", exitSettings, []string{"settings.conf", "decode configuration"}},
+		{"platform -boot testdata/none", exitSettings, []string{"testdata/none"}},
 		{"load -profile none", exitUsage, []string{"none"}},
 	} {
 		t.Run(tc.line, func(t *testing.T) {
--- a/cmd/buckthorndrum/platform.go
+++ b/cmd/buckthorndrum/platform.go
@@ -26,6 +26,9 @@
 		if err != nil {
 			return settingsError{err}
 		}
+		if _, err := platform.ReadSettings(path); err != nil {
+			return settingsError{err}
+		}
 		err = platform.Run(ctx, platform.Config{Path: path, Log: log, Dropped: lines.Dropped})
 		close(stop)
 		<-lines.Done()
--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -32,6 +32,9 @@
 	budgets   map[identifier.Pool]*budget
 	// peers is how many routers there are besides this one.
 	peers int
+	// mostPeers is the most there were, since routers out of hearing use their
+	// part of a budget too.
+	mostPeers int
 }
 
 func newBoard(t Tunables) *board {
--- a/forwarder/budget.go
+++ b/forwarder/budget.go
@@ -74,7 +74,20 @@
 func (f *Forwarder) mayRetry(now identifier.Instant, p identifier.Pool) bool {
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
-	return f.budgetOf(p).retry(now, f.board.tunables.Load().Retries, f.board.peers+1)
+	return f.budgetOf(p).retry(now, f.board.tunables.Load().Retries, f.sharers())
+}
+
+// unknownFleet is how many routers are assumed to share a budget while none is
+// heard of, as after the start of all.
+const unknownFleet = 32
+
+// sharers returns how many routers share the budgets. The caller holds the lock.
+func (f *Forwarder) sharers() int {
+	f.board.mostPeers = max(f.board.mostPeers, f.board.peers)
+	if f.board.mostPeers == 0 {
+		return unknownFleet
+	}
+	return f.board.mostPeers + 1
 }
 
 func (f *Forwarder) budgetOf(p identifier.Pool) *budget {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -115,6 +115,7 @@
 func TestRetriesKeepTheirBudget(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t, cut, cut)
+	f.Heard(clocker.Now(), Summary{}, 1)
 	g.Expect(f.Tune(Tunables{ProofAge: time.Minute, Retries: RetryBudget{Window: 10 * time.Second, Extra: 5}})).To(Succeed())
 	for i := 0; i < 20; i++ {
 		f.send(f.request(http.MethodGet, "/lookup/1", ""))
@@ -145,6 +146,21 @@
 	g.Expect(count()).To(Equal(4))
 }
 
+func TestBudgetIsSharedWithRoutersOutOfHearing(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t)
+	sharers := func() int {
+		f.board.mu.Lock()
+		defer f.board.mu.Unlock()
+		return f.sharers()
+	}
+	g.Expect(sharers()).To(Equal(unknownFleet))
+	f.Heard(clocker.Now(), Summary{}, 9)
+	g.Expect(sharers()).To(Equal(10))
+	f.Heard(clocker.Now(), Summary{}, 0)
+	g.Expect(sharers()).To(Equal(10))
+}
+
 func TestStreamGoesOnAtAnotherTarget(t *testing.T) {
 	for name, tail := range map[string]string{"between events": "", "in an event": "id: 4\nda", "in an id": "id: "} {
 		t.Run(name, func(t *testing.T) {
