--- a/forwarder/callers.go
+++ b/forwarder/callers.go
@@ -20,7 +20,7 @@
 	// most is how many there should be at the most, zero for no bound.
 	most int
 	mu   sync.Mutex
-	// idle holds since when a connection is idle, zero while it is in use.
+	// idle holds since when a connection is idle or new, zero while it is in use.
 	idle map[net.Conn]identifier.Instant
 }
 
@@ -41,9 +41,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
-	case http.StateNew, http.StateActive:
+	case http.StateActive:
 		s.idle[c] = 0
-	case http.StateIdle:
+	case http.StateNew, http.StateIdle:
 		s.idle[c] = clocker.Now()
 	case http.StateClosed, http.StateHijacked:
 		delete(s.idle, c)
@@ -110,6 +110,26 @@
 	return append(found, idle[:n]...)
 }
 
+// leavePoll is how often a router that ends looks whether callers are gone.
+const leavePoll = 20 * time.Millisecond
+
+// leave closes connections as they become idle, until there are none or ctx ends.
+// One on which a request has come that was not read yet is still served.
+func (s *callers) leave(ctx context.Context) error {
+	for {
+		s.sweep(clocker.Now(), 0)
+		n := s.count()
+		if n == 0 {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return errors.Wrapf(ctx.Err(), "%d connections are left", n)
+		case <-time.After(leavePoll):
+		}
+	}
+}
+
 // hasLeft tells whether the caller of a request has closed its connection. The
 // server notices that by itself only a moment after it has read the request.
 func hasLeft(r *http.Request) bool {
--- a/forwarder/callers_test.go
+++ b/forwarder/callers_test.go
@@ -80,6 +80,31 @@
 	g.Expect(err).NotTo(HaveOccurred())
 }
 
+// A router that ends serves what has come on an idle connection and was not read
+// yet (karakoram-grown trouble-3: LOST at SIGTERM).
+func TestLeavingServesWhatHasCome(t *testing.T) {
+	g := NewWithT(t)
+	s := newCallers(0)
+	idleCaller, idle := connected(t)
+	busyCaller, busy := connected(t)
+	_ = idleCaller
+	s.note(idle, http.StateNew)
+	s.note(busy, http.StateIdle)
+	_, _ = busyCaller.Write([]byte("GET"))
+	time.Sleep(10 * time.Millisecond)
+	ctx, cancel := context.WithTimeout(context.Background(), 3*leavePoll)
+	defer cancel()
+	go func() {
+		_, _ = idle.Read(make([]byte, 1))
+		s.note(idle, http.StateClosed)
+	}()
+	g.Expect(s.leave(ctx)).To(MatchError(ContainSubstring("1 connections are left")))
+	_, err := busy.Write([]byte("answer"))
+	g.Expect(err).NotTo(HaveOccurred())
+	s.note(busy, http.StateClosed)
+	g.Expect(s.leave(context.Background())).To(Succeed())
+}
+
 func TestLongestIdleGoFirst(t *testing.T) {
 	g := NewWithT(t)
 	s := newCallers(4)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -81,13 +81,15 @@
 	board   *board
 	pool    *exchanger.Pool
 	callers *callers
-	server  *http.Server
-	metrics *metrics
-	strain  strain
-	log     *zap.Logger
-	ctx     context.Context
-	cancel  context.CancelFunc
-	behind  chan int64
+	// listener takes the callers' connections.
+	listener net.Listener
+	server   *http.Server
+	metrics  *metrics
+	strain   strain
+	log      *zap.Logger
+	ctx      context.Context
+	cancel   context.CancelFunc
+	behind   chan int64
 	// done is closed when the forwarder has stopped.
 	done chan struct{}
 }
@@ -111,6 +113,7 @@
 		done:    make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.listener = l
 	f.metrics = newMetrics(f)
 	f.server = &http.Server{
 		Handler:           f,
@@ -119,15 +122,16 @@
 		ConnContext:       remember,
 		ErrorLog:          zap.NewStdLog(f.log),
 	}
-	go f.serve(l)
+	go f.serve()
 	go f.sweep()
 	go f.watchStrain()
 	f.log.Info("serving callers", zap.String("address", l.Addr().String()))
 	return f, nil
 }
 
-func (f *Forwarder) serve(l net.Listener) {
-	if err := f.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+func (f *Forwarder) serve() {
+	err := f.server.Serve(f.listener)
+	if !errors.Is(err, http.ErrServerClosed) && !f.board.stopping.Load() {
 		f.log.Error("callers' port lost", reporter.Error(err))
 	}
 }
@@ -172,7 +176,8 @@
 	case <-time.After(lingerNew):
 	case <-ctx.Done():
 	}
-	err := f.server.Shutdown(ctx)
+	_ = f.listener.Close()
+	err := f.callers.leave(ctx)
 	f.Stop()
 	return errors.Wrap(err, "wait for requests in hand")
 }
