forwarder, informer: remove what nothing reads

Dead since limits follow a route's own aim: the pools' tightest aim, workspaces' ranks, a verdict's notice of leaving, the exchange's last source.

--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -53,6 +53,4 @@
 	Moved bool
 	// Genuine tells that the answer is the target's own.
 	Genuine bool
-	// Leaving tells that the target is about to leave.
-	Leaving bool
 }
--- a/forwarder/snapshot.go
+++ b/forwarder/snapshot.go
@@ -16,11 +16,8 @@
 	Limits   Limits
 	pools    map[identifier.Pool]Pool
 	keys     map[string]identifier.Workspace
-	ranks    map[identifier.Workspace]int
 	// routes are those of each host, the longest prefix first.
 	routes map[string][]*Route
-	// tightest is the shortest aim of a pool's routes.
-	tightest map[identifier.Pool]time.Duration
 }
 
 // Limits bound what callers may send.
@@ -88,15 +85,12 @@
 		Limits:   l,
 		pools:    map[identifier.Pool]Pool{},
 		keys:     map[string]identifier.Workspace{},
-		ranks:    map[identifier.Workspace]int{},
 		routes:   map[string][]*Route{},
-		tightest: map[identifier.Pool]time.Duration{},
 	}
 	for _, p := range pools {
 		s.pools[p.ID] = p
 	}
 	for _, w := range spaces {
-		s.ranks[w.ID] = w.Urgency
 		for _, k := range w.Keys {
 			s.keys[k] = w.ID
 		}
@@ -113,11 +107,6 @@
 func (s *Snapshot) addRoute(r *Route) {
 	host := plainHost(r.Host)
 	s.routes[host] = append(s.routes[host], r)
-	for _, share := range r.Split {
-		if t, ok := s.tightest[share.Pool]; r.Aim > 0 && (!ok || r.Aim < t) {
-			s.tightest[share.Pool] = r.Aim
-		}
-	}
 }
 
 // Match returns the route of a request, or nil.
--- a/informer/exchange.go
+++ b/informer/exchange.go
@@ -74,8 +74,6 @@
 	reports map[identifier.Router]*report
 	sent    [keptReports]sent
 	number  uint64
-	// source is whose total was believed last.
-	source identifier.Router
 }
 
 func newExchange(self identifier.Router) *exchange {
@@ -211,6 +209,5 @@
 			return false
 		}
 	}
-	x.source = source
 	return true
 }
