relayer, platform, informer: hubs tell the store's changes

Change: two hubs watch the store and tell the others what follows their position; a router asks itself if it is told of no proof, of news that are missing, or by no hub. Hubs that do not reach the store are passed over.

--- a/informer/exchange.go
+++ b/informer/exchange.go
@@ -21,9 +21,12 @@
 	reportLife = time.Second
 	totalLife  = 600 * time.Millisecond
 	// silentAfter is when a hub that answers no report is passed over, and
-	// retryAfter for how long.
+	// retryAfter for how long one is.
 	silentAfter = 500 * time.Millisecond
 	retryAfter  = 2 * time.Second
+	// staleBy is by how much a hub's proof may be older than the own one. Beyond
+	// that the hub is passed over: it does not reach the store, and others do.
+	staleBy = time.Second
 	// keptReports is how many of its own reports a router keeps, to take its own
 	// part out of a total.
 	keptReports = 32
@@ -183,9 +186,20 @@
 	return found
 }
 
-// told takes in a hub's total. It returns what others have under way, and when
-// the hub sent the total at the earliest; ok is false if it is not to be believed.
-func (x *exchange) told(now identifier.Instant, m message) (others forwarder.Summary, at identifier.Instant, ok bool) {
+// told tells whether a hub's total was heard lately.
+func (x *exchange) told(now identifier.Instant) bool {
+	for _, h := range x.hubs {
+		if h.heard != 0 && now.Sub(h.heard) <= totalLife {
+			return true
+		}
+	}
+	return false
+}
+
+// total takes in a hub's total, where proved is the age of the own proof. It
+// returns what others have under way, and when the hub sent the total at the
+// earliest; ok is false if it is not to be believed.
+func (x *exchange) total(now identifier.Instant, m message, proved time.Duration) (others forwarder.Summary, at identifier.Instant, ok bool) {
 	h := x.hubs[m.From]
 	if h == nil || h.incarnation == m.Incarnation && m.Number <= h.number {
 		return others, 0, false
@@ -196,6 +210,9 @@
 	}
 	h.incarnation, h.number, h.heard, h.routers = m.Incarnation, m.Number, now, m.Routers
 	h.asked, h.passed = 0, 0
+	if m.Status.ProofAge > proved+staleBy {
+		h.passed = now.Add(retryAfter)
+	}
 	return m.Summary.Without(mine.summary), mine.at, x.believes(now, m.From, m.Routers)
 }
 
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -14,6 +14,7 @@
 	"buckthorndrum/clocker"
 	"buckthorndrum/forwarder"
 	"buckthorndrum/identifier"
+	"buckthorndrum/relayer"
 	"buckthorndrum/reporter"
 )
 
@@ -31,6 +32,16 @@
 	Vouched(at identifier.Instant, s forwarder.Status)
 }
 
+// Relay is who knows the store's latest changes, and is told those that others
+// know.
+type Relay interface {
+	// After returns what has changed after a position of the store; ok is false if
+	// that is nothing.
+	After(position int64) (n relayer.News, ok bool)
+	// Told takes in what another router knows of.
+	Told(n relayer.News)
+}
+
 // Config sets up an informer.
 type Config struct {
 	Self identifier.Router
@@ -39,7 +50,9 @@
 	// Weight orders the routers that are asked to be hubs, the highest first.
 	Weight int
 	Reader Reader
-	Log    *zap.Logger
+	// Relay is nil where each router asks the store itself.
+	Relay Relay
+	Log   *zap.Logger
 }
 
 // maxDatagram bounds a message, in bytes.
@@ -99,6 +112,13 @@
 	return i.isHub
 }
 
+// Told tells whether a hub has told this router a total lately.
+func (i *Informer) Told(now identifier.Instant) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.x.told(now)
+}
+
 func (i *Informer) listen() {
 	defer close(i.done)
 	buf := make([]byte, maxDatagram)
@@ -120,15 +140,17 @@
 }
 
 func (i *Informer) take(now identifier.Instant, m message, from netip.AddrPort) {
+	proved := i.cfg.Reader.Status(now).ProofAge
 	i.mu.Lock()
 	if !m.isTotal() {
 		i.x.reported(now, m, from)
 		i.mu.Unlock()
 		return
 	}
-	others, at, believed := i.x.told(now, m)
+	others, at, believed := i.x.total(now, m, proved)
 	i.mu.Unlock()
 	if at > 0 {
+		i.relay(m)
 		i.cfg.Reader.Vouched(at, m.Status)
 	}
 	if believed {
@@ -136,6 +158,25 @@
 	}
 }
 
+func (i *Informer) relay(m message) {
+	if m.News != nil && i.cfg.Relay != nil {
+		i.cfg.Relay.Told(*m.News)
+	}
+}
+
+// newsFor returns what a router that has got to a position has not heard, nil if
+// that is nothing.
+func (i *Informer) newsFor(position int64) *relayer.News {
+	if i.cfg.Relay == nil {
+		return nil
+	}
+	n, ok := i.cfg.Relay.After(position)
+	if !ok {
+		return nil
+	}
+	return &n
+}
+
 func (i *Informer) tell(ctx context.Context) {
 	for {
 		i.mu.Lock()
@@ -192,6 +233,7 @@
 	own.Number, own.Summary, own.Routers = i.totals, others.Plus(own.Summary), len(live)+1
 	for _, r := range live {
 		own.Echo = r.Number
+		own.News = i.newsFor(r.Status.Position)
 		i.send(own, r.address)
 	}
 }
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -158,16 +158,16 @@
 	first := x.reporting(second, to, running1(3))
 	x.reporting(2*second, to, running1(5))
 	total := message{From: "a", Incarnation: 1, Number: 1, Routers: 3, Summary: running1(10), Echo: first}
-	others, at, ok := x.told(5*second/2, total)
+	others, at, ok := x.total(5*second/2, total, 0)
 	g.Expect(ok).To(BeTrue())
 	g.Expect(at).To(Equal(second))
 	g.Expect(others.Loads["t"].Running).To(Equal(7))
-	_, _, ok = x.told(5*second/2, total)
+	_, _, ok = x.total(5*second/2, total, 0)
 	g.Expect(ok).To(BeFalse(), "it came twice")
 	total.Number, total.Echo = 2, 99
-	_, at, ok = x.told(5*second/2, total)
+	_, at, ok = x.total(5*second/2, total, 0)
 	g.Expect(ok || at > 0).To(BeFalse(), "it echoes a report that was never sent")
-	_, _, ok = x.told(5*second/2, message{From: "z", Incarnation: 1, Number: 1, Routers: 3, Echo: first})
+	_, _, ok = x.total(5*second/2, message{From: "z", Incarnation: 1, Number: 1, Routers: 3, Echo: first}, 0)
 	g.Expect(ok).To(BeFalse(), "it is nobody's that was asked")
 }
 
@@ -176,11 +176,11 @@
 	x := newTestExchange()
 	to, _ := x.chosen(second)
 	n := x.reporting(second, to, running1(1))
-	_, _, ok := x.told(second, message{From: "a", Incarnation: 1, Number: 1, Routers: 5, Echo: n})
+	_, _, ok := x.total(second, message{From: "a", Incarnation: 1, Number: 1, Routers: 5, Echo: n}, 0)
 	g.Expect(ok).To(BeTrue())
-	_, _, ok = x.told(second, message{From: "b", Incarnation: 1, Number: 1, Routers: 2, Echo: n})
+	_, _, ok = x.total(second, message{From: "b", Incarnation: 1, Number: 1, Routers: 2, Echo: n}, 0)
 	g.Expect(ok).To(BeFalse())
-	_, _, ok = x.told(second.Add(2*totalLife), message{From: "b", Incarnation: 1, Number: 2, Routers: 2, Echo: n})
+	_, _, ok = x.total(second.Add(2*totalLife), message{From: "b", Incarnation: 1, Number: 2, Routers: 2, Echo: n}, 0)
 	g.Expect(ok).To(BeTrue(), "the other one is silent")
 }
 
@@ -223,9 +223,33 @@
 		}
 		x := newTestExchange()
 		x.reported(second, m, anyAddress)
-		x.told(second, m)
+		x.total(second, m, 0)
 		if err := m.Summary.Without(m.Summary.Plus(m.Summary)).Check(); err != nil {
 			t.Fatal(err)
 		}
 	})
 }
+
+// A hub that is cut off from the store knows no changes; another takes its place
+// (karakoram-grown scale-2).
+func TestHubsThatDoNotReachTheStoreArePassedOver(t *testing.T) {
+	g := NewWithT(t)
+	x := newExchange("d")
+	x.list(map[identifier.Router]Peer{"a": {Weight: 3}, "b": {Weight: 3}, "c": {Weight: 2}, "d": {Weight: 1}})
+	to, _ := x.chosen(second)
+	g.Expect(to).To(Equal([]identifier.Router{"a", "b"}))
+	n := x.reporting(second, to, forwarder.Summary{})
+	x.total(second, message{From: "a", Incarnation: 1, Number: 1, Routers: 3, Echo: n, Status: forwarder.Status{ProofAge: 2 * time.Second}}, 100*time.Millisecond)
+	to, _ = x.chosen(second)
+	g.Expect(to).To(Equal([]identifier.Router{"b", "c"}))
+	x.total(second, message{From: "b", Incarnation: 1, Number: 1, Routers: 3, Echo: n}, 0)
+	to, _ = x.chosen(second.Add(retryAfter))
+	g.Expect(to).To(Equal([]identifier.Router{"a", "b"}))
+	now := second.Add(retryAfter)
+	n = x.reporting(now, to, forwarder.Summary{})
+	for _, id := range to {
+		x.total(now, message{From: id, Incarnation: 1, Number: 2, Routers: 3, Echo: n, Status: forwarder.Status{ProofAge: 20 * time.Second}}, 20*time.Second)
+	}
+	to, _ = x.chosen(now)
+	g.Expect(to).To(Equal([]identifier.Router{"a", "b"}), "nobody reaches a store that is down")
+}
--- a/informer/message.go
+++ b/informer/message.go
@@ -6,6 +6,7 @@
 
 	"buckthorndrum/forwarder"
 	"buckthorndrum/identifier"
+	"buckthorndrum/relayer"
 )
 
 // message is one datagram: a report of a router to a hub, or the total that a
@@ -24,6 +25,8 @@
 	Echo uint64 `cbor:"6,keyasint,omitempty"`
 	// Routers is set in a total: how many routers are in it.
 	Routers int `cbor:"7,keyasint,omitempty"`
+	// News is set in a total if the receiver is behind the sender.
+	News *relayer.News `cbor:"8,keyasint,omitempty"`
 }
 
 // isTotal tells a total from a report.
@@ -37,6 +40,11 @@
 	if m.Routers < 0 || m.Status.ProofAge < 0 {
 		return errors.Errorf("message of router %q has a negative count or age", m.From)
 	}
+	if m.News != nil {
+		if err := m.News.Check(); err != nil {
+			return errors.Wrapf(err, "check news of router %q", m.From)
+		}
+	}
 	return m.Summary.Check()
 }
 
--- /dev/null
+++ b/relayer/log_test.go
@@ -0,0 +1,103 @@
+package relayer
+
+import (
+	"testing"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+)
+
+func TestNewsAreWhatChangedAfterAPosition(t *testing.T) {
+	g := NewWithT(t)
+	l := &Log{}
+	l.Restart(10)
+	_, ok := l.After(10)
+	g.Expect(ok).To(BeFalse())
+	l.Add([]Entry{{Key: "a", Position: 11, Value: []byte("1")}, {Key: "b", Position: 13, Gone: true}}, 15)
+	n, ok := l.After(11)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(n).To(Equal(News{After: 11, UpTo: 15, Entries: []Entry{{Key: "b", Position: 13, Gone: true}}}))
+	_, ok = l.After(15)
+	g.Expect(ok).To(BeFalse())
+	_, ok = l.After(0)
+	g.Expect(ok).To(BeFalse(), "who has read nothing yet reads the store")
+}
+
+func TestWhatIsNotHeldIsSaidToBeMissing(t *testing.T) {
+	g := NewWithT(t)
+	l := &Log{}
+	l.Restart(10)
+	n, _ := l.After(9)
+	g.Expect(n.Missing).To(BeTrue())
+	l.Add([]Entry{{Key: "large", Position: 11, Value: make([]byte, maxTold+1)}}, 11)
+	l.Add([]Entry{{Key: "a", Position: 12}}, 12)
+	n, _ = l.After(10)
+	g.Expect(n.Missing).To(BeTrue())
+	g.Expect(n.Entries).To(BeEmpty())
+	n, _ = l.After(11)
+	g.Expect(n.Missing).To(BeFalse())
+	g.Expect(n.Entries).To(HaveLen(1))
+}
+
+// Who is told everything after its position has the same as who was told all
+// along, or knows that something is missing.
+func TestNewsLeaveNoGap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := &Log{}
+		l.Restart(1)
+		position := int64(1)
+		known := map[string]int64{}
+		all := map[string]int64{}
+		at := int64(1)
+		for step := 0; step < 60; step++ {
+			if rapid.Bool().Draw(t, "change") {
+				n := rapid.IntRange(0, 30).Draw(t, "entries")
+				var list []Entry
+				for i := 0; i < n; i++ {
+					position++
+					key := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "key")
+					list = append(list, Entry{Key: key, Position: position, Value: make([]byte, rapid.IntRange(0, 900).Draw(t, "size"))})
+					all[key] = position
+				}
+				l.Add(list, position)
+				continue
+			}
+			news, ok := l.After(at)
+			if !ok {
+				if at != position {
+					t.Fatalf("no news at %d, the store is at %d", at, position)
+				}
+				continue
+			}
+			if err := news.Check(); err != nil {
+				t.Fatal(err)
+			}
+			at = news.UpTo
+			if news.Missing {
+				for k, v := range all {
+					known[k] = v
+				}
+				continue
+			}
+			for _, e := range news.Entries {
+				known[e.Key] = e.Position
+			}
+			for k, v := range all {
+				if known[k] != v {
+					t.Fatalf("key %q is known at %d, the store has %d", k, known[k], v)
+				}
+			}
+		}
+		if l.bytes > maxBytes || len(l.entries) > maxEntries {
+			t.Fatalf("%d entries of %d bytes are kept", len(l.entries), l.bytes)
+		}
+	})
+}
+
+func TestNewsOutOfOrderAreRefused(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(News{After: 3, UpTo: 2}.Check()).NotTo(Succeed())
+	g.Expect(News{After: 1, UpTo: 5, Entries: []Entry{{Position: 6}}}.Check()).NotTo(Succeed())
+	g.Expect(News{After: 1, UpTo: 5, Entries: []Entry{{Position: 4}, {Position: 3}}}.Check()).NotTo(Succeed())
+	g.Expect(News{After: 1, UpTo: 5, Entries: []Entry{{Position: 4}, {Position: 5}}}.Check()).To(Succeed())
+}
--- /dev/null
+++ b/relayer/news.go
@@ -0,0 +1,41 @@
+package relayer
+
+import "github.com/pkg/errors"
+
+// Entry is one change of the store. What a key and a value mean is known to who
+// reads the store.
+type Entry struct {
+	_     struct{} `cbor:",toarray"`
+	Key   string
+	Value []byte
+	// Position is the store's after the change.
+	Position int64
+	// Gone tells that the key was removed.
+	Gone bool
+}
+
+// News are all changes after one position of the store up to another. A decoded
+// one must be checked.
+type News struct {
+	After   int64   `cbor:"1,keyasint"`
+	UpTo    int64   `cbor:"2,keyasint"`
+	Entries []Entry `cbor:"3,keyasint,omitempty"`
+	// Missing tells that not all changes are here, so that the store has to be
+	// asked for them.
+	Missing bool `cbor:"4,keyasint,omitempty"`
+}
+
+// Check reports whether decoded news are well formed.
+func (n News) Check() error {
+	if n.After < 0 || n.UpTo < n.After {
+		return errors.Errorf("news go from position %d to %d", n.After, n.UpTo)
+	}
+	last := n.After
+	for _, e := range n.Entries {
+		if e.Position < last || e.Position > n.UpTo {
+			return errors.Errorf("change of key %q at position %d is out of order", e.Key, e.Position)
+		}
+		last = e.Position
+	}
+	return nil
+}
