forwarder: an idle connection whose request is being parsed stays

A stopping router closed a connection that the server still called idle; its request had been read from the socket and was being parsed, so that no byte was left in it. It was passed on and ran, and its answer found no connection. Ruled out: the relaying of the store's changes (the router was in touch all along). Change: idle connections get a read deadline that has passed. The server closes those that wait for a request, and one that has read a request answers it.

--- a/forwarder/callers.go
+++ b/forwarder/callers.go
@@ -79,16 +79,23 @@
 	return max(0, len(s.idle)-s.most*percent/100)
 }
 
-// sweep closes connections that were idle for too long, and those idle for
-// longest while there are too many.
+// sweep ends connections that were idle for too long, and those idle for longest
+// while there are too many.
 func (s *callers) sweep(now identifier.Instant, limit time.Duration) {
 	for _, c := range s.surplus(now, limit) {
 		if waiting(c) == nothing {
-			_ = c.Close()
+			hangUp(c)
 		}
 	}
 }
 
+// hangUp lets the server close a connection, unless it has read a request that it
+// has not told of yet: reading on is what it may no more.
+func hangUp(c net.Conn) { _ = c.SetReadDeadline(longAgo) }
+
+// longAgo is a deadline that has passed.
+var longAgo = time.Unix(1, 0)
+
 func (s *callers) surplus(now identifier.Instant, limit time.Duration) []net.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
