forwarder, sharer: a flood keeps out itself only, nobody has twice what a needy one has

Change: a strained router shares what it serves max-min among the workspaces that come to it; a workspace within its share gets nothing more while it has 1.8 times what a needy one has that asks for as much.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -57,8 +57,7 @@
 	}
 	c.facts = f.cfg.Dialect.Read(r.Header)
 	defer f.ended(c)
-	f.lookIfDue(c.arrived)
-	if f.strain.refuses(f.standingOf(c)) {
+	if f.leavesToOthers(c) {
 		f.end(c, ending{status: http.StatusServiceUnavailable, reason: "This router is short of processor time.", retryAfter: f.strain.comeBack(c.arrived)})
 		return
 	}
--- a/forwarder/strain.go
+++ b/forwarder/strain.go
@@ -27,9 +27,11 @@
 	// each look.
 	strainRise = 0.08
 	strainFall = 0.03
-	// strainMost is the most that is refused: all, as what is taken in late is not
-	// given up in time either.
-	strainMost = 1
+	// strainMost is the most that is refused: nearly all, as what is taken in late
+	// is not given up in time either. servedLeast is what is served all the same, of
+	// those that ask for least.
+	strainMost  = 1
+	servedLeast = 0.02
 	// spareBelow is the share below which only requests beyond their workspace's
 	// share are refused.
 	spareBelow = 0.6
@@ -60,6 +62,8 @@
 	seen []uint64
 	// share is the part of requests to refuse, in thousandths.
 	share atomic.Int64
+	// turns shares what is served among workspaces.
+	turns turns
 	// since is since when the process is strained, as an Instant, zero if it is not.
 	since atomic.Int64
 }
@@ -75,6 +79,7 @@
 		share = max(0, share-strainFall)
 	}
 	s.share.Store(int64(share * 1000))
+	s.turns.work(max(servedLeast, 1-within(share)))
 	switch {
 	case share >= strainedFrom && s.since.Load() == 0:
 		s.since.Store(int64(now))
@@ -83,16 +88,22 @@
 	}
 }
 
-// refuses decides whether a request of a workspace of this standing is refused.
-func (s *strain) refuses(standing float64) bool {
+// within returns the part of the requests of workspaces within their share that is
+// refused.
+func within(share float64) float64 { return max(0, share-spareBelow) / (1 - spareBelow) }
+
+// refuses decides whether a request of workspace w, which has this standing, is
+// refused.
+func (s *strain) refuses(w identifier.Workspace, standing float64) bool {
 	share := float64(s.share.Load()) / 1000
 	if share == 0 {
 		return false
 	}
-	if standing >= 1 {
-		share = max(0, share-spareBelow) / (1 - spareBelow)
+	served := s.turns.note(w)
+	if standing < 1 && rand.Float64() < share {
+		return true
 	}
-	return rand.Float64() < share
+	return rand.Float64() >= served
 }
 
 // high tells whether the process is strained.
@@ -184,22 +195,28 @@
 	return 0
 }
 
-// standingOf returns the standing of the workspace that a request is of, as far as
-// it is known. A request that the router may have to leave to others is noted as
-// asked for, so that its workspace counts as needy.
-func (f *Forwarder) standingOf(c *call) float64 {
+// leavesToOthers decides whether a request is left to other routers, as this one
+// is short of processor time. One that may be is noted as asked for, so that its
+// workspace counts as needy.
+func (f *Forwarder) leavesToOthers(c *call) bool {
+	f.lookIfDue(c.arrived)
 	s := f.board.snapshot.Load()
 	if s == nil || f.strain.share.Load() == 0 {
-		return 1
+		return false
 	}
 	w, ok := s.WorkspaceOf(c.facts.Key)
 	if !ok {
-		return 1
+		return f.strain.refuses(w, 1)
 	}
 	c.workspace = w
+	return f.strain.refuses(w, f.standingOf(c))
+}
+
+// standingOf notes what a workspace asks for and returns its standing.
+func (f *Forwarder) standingOf(c *call) float64 {
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
 	c.asked = true
-	f.board.sharer.Asked(c.arrived, w, c.size())
-	return f.board.sharer.Standing(c.arrived, w)
+	f.board.sharer.Asked(c.arrived, c.workspace, c.size())
+	return f.board.sharer.Standing(c.arrived, c.workspace)
 }
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -108,18 +108,19 @@
 	return s.level / given
 }
 
-// Excessive tells whether workspace w, beyond its share, has so much more than a
-// needy one that nothing is to be given to it, even where there is room.
+// Excessive tells whether workspace w has so much more than a needy one that
+// nothing is to be given to it, even where there is room.
 func (s *Sharer) Excessive(now identifier.Instant, w identifier.Workspace) bool {
 	if s.worked == 0 || now.Sub(s.worked) >= workEvery {
 		s.work(now)
 	}
 	given := float64(s.total(now, w).Given)
+	most := lead
 	if given <= s.level {
-		return false
+		most = leadWithin
 	}
 	for _, r := range s.kept {
-		if float64(r.Asked) >= given && given > lead*float64(r.Given) {
+		if float64(r.Asked) >= given && given > most*float64(r.Given) {
 			return true
 		}
 	}
@@ -133,6 +134,10 @@
 	// needyAfter is how long a workspace must have been given less than half of
 	// what it asks for to count as needy.
 	needyAfter = 500 * time.Millisecond
+	// leadWithin is the same for workspaces within their share:
+	// what holds the needy one back is then no want of capacity, and the others
+	// are held back only as far as nobody may have twice as much.
+	leadWithin = 1.8
 )
 
 // noteNeed notes whether a workspace is given less than half of what it asks for.
@@ -180,7 +185,7 @@
 		return
 	}
 	s.kept = s.kept[:0]
-	s.level = fill(s.wants(now), s.capacity)
+	s.level = Fill(s.wants(now), s.capacity)
 }
 
 // wants returns what each workspace asks for, in tokens a second, and notes which
@@ -207,9 +212,9 @@
 	return asked
 }
 
-// fill returns the max-min level of the rates asked within the capacity, and
-// infinity if all fit.
-func fill(asked []float64, capacity float64) float64 {
+// Fill returns the max-min level of the rates asked within the capacity, and
+// infinity if all fit. It sorts the rates.
+func Fill(asked []float64, capacity float64) float64 {
 	sort.Float64s(asked)
 	for i, a := range asked {
 		even := capacity / float64(len(asked)-i)
