forwarder, platform, informer, relayer, sharer: one piece where logic stood twice

Read as a whole. The settings file was read twice at the start (command and router); the relayed log was copied at each change also when nothing was dropped; a hub worked its status out for each report that needs none; what a request asks for was noted in two places, and an answer that broke off was decided in two. sharer.Level was called by a test only. Behaviour and the tests' assertions are as before.

--- a/cmd/buckthorndrum/platform.go
+++ b/cmd/buckthorndrum/platform.go
@@ -26,10 +26,11 @@
 		if err != nil {
 			return settingsError{err}
 		}
-		if _, err := platform.ReadSettings(path); err != nil {
+		settings, err := platform.ReadSettings(path)
+		if err != nil {
 			return settingsError{err}
 		}
-		err = platform.Run(ctx, platform.Config{Path: path, Log: log, Dropped: lines.Dropped})
+		err = platform.Run(ctx, platform.Config{Settings: settings, Path: path, Log: log, Dropped: lines.Dropped})
 		close(stop)
 		<-lines.Done()
 		return err
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -59,6 +59,16 @@
 	return r, err == nil
 }
 
+// serve hands the requests of a connection on until it ends or one is the last.
+func serve(br *bufio.Reader, each func(r *http.Request) (last bool)) {
+	for {
+		r, ok := readRequest(br)
+		if !ok || each(r) {
+			return
+		}
+	}
+}
+
 func answer(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
@@ -90,13 +100,10 @@
 func TestConnectionsAreUsedAgain(t *testing.T) {
 	g := NewWithT(t)
 	s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
-		for {
-			r, ok := readRequest(br)
-			if !ok {
-				return
-			}
+		serve(br, func(r *http.Request) bool {
 			_, _ = io.WriteString(c, answer(r.Header.Get("Id"), r.URL.Path))
-		}
+			return false
+		})
 	})
 	p := newPool()
 	for _, id := range []string{"a", "b", "c"} {
@@ -132,13 +139,10 @@
 func TestLateAnswerOfAnotherRequestIsSkipped(t *testing.T) {
 	g := NewWithT(t)
 	s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
-		for {
-			r, ok := readRequest(br)
-			if !ok {
-				return
-			}
+		serve(br, func(r *http.Request) bool {
 			_, _ = io.WriteString(c, answer("other", "stray")+answer(r.Header.Get("Id"), "mine"))
-		}
+			return false
+		})
 	})
 	g.Expect(exchange(g, newPool(), get(s.Addr().String(), "a"))).To(Equal("mine"))
 }
@@ -191,17 +195,14 @@
 	g := NewWithT(t)
 	var requests atomic.Int64
 	s := newTarget(t, func(n int64, c net.Conn, br *bufio.Reader) {
-		for {
-			r, ok := readRequest(br)
-			if !ok {
-				return
-			}
+		serve(br, func(r *http.Request) bool {
 			if requests.Add(1) == 2 {
 				reset(c)
-				return
+				return true
 			}
 			_, _ = io.WriteString(c, answer(r.Header.Get("Id"), "x"))
-		}
+			return false
+		})
 	})
 	p := newPool()
 	g.Expect(exchange(g, p, get(s.Addr().String(), "a"))).To(Equal("x"))
@@ -274,13 +275,10 @@
 func TestOnlyRepeatableRequestsUseOldConnections(t *testing.T) {
 	g := NewWithT(t)
 	s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
-		for {
-			r, ok := readRequest(br)
-			if !ok {
-				return
-			}
+		serve(br, func(r *http.Request) bool {
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nId: "+r.Header.Get("Id")+"\r\nKeep-Alive: timeout=2\r\nContent-Length: 0\r\n\r\n")
-		}
+			return false
+		})
 	})
 	p := newPool()
 	c := get(s.Addr().String(), "a")
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -36,7 +36,7 @@
 	if c.begun() {
 		// A stream that has begun can only go on with events.
 		a.Abort()
-		return f.brokenStream(c, t, "no stream to go on with")
+		return f.brokenOff(c, t, "no stream to go on with")
 	}
 	body, err := io.ReadAll(io.LimitReader(a.Body, maxHeld+1))
 	if err != nil || len(body) > maxHeld {
@@ -60,10 +60,7 @@
 	if ctx.Err() != nil {
 		return admitter.Left, f.truth(c, &ending{status: http.StatusGatewayTimeout, reason: "The time limit has passed."})
 	}
-	if e := f.again(c, t, why); e != nil {
-		return admitter.Failed, e
-	}
-	return again, nil
+	return f.brokenOff(c, t, why)
 }
 
 // pass writes a whole answer to the caller.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -189,13 +189,16 @@
 	}
 }
 
-// asked notes what the workspace asks for.
+// asked notes what the workspace asks for, once for each request.
 func (f *Forwarder) asked(now identifier.Instant, c *call) {
-	if size := c.size(); size > 0 && !c.asked {
-		f.board.mu.Lock()
-		f.board.sharer.Asked(now, c.workspace, size)
-		f.board.mu.Unlock()
+	size := c.size()
+	if size == 0 || c.asked {
+		return
 	}
+	c.asked = true
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	f.board.sharer.Asked(now, c.workspace, size)
 }
 
 // generatedWeight is how many tokens read a generated one counts for.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -67,20 +67,11 @@
 	}
 }
 
-func failure(w net.Conn, r *http.Request) bool {
-	reply(w, r, http.StatusInternalServerError, "Seal: s\r\n", "failed")
-	return true
-}
-
-func unsealed(w net.Conn, r *http.Request) bool {
-	reply(w, r, http.StatusOK, "", "forged")
-	return true
-}
-
-func moved(w net.Conn, r *http.Request) bool {
-	reply(w, r, http.StatusMisdirectedRequest, "", "")
-	return true
-}
+var (
+	failure  = replies(http.StatusInternalServerError, "Seal: s\r\n", "failed")
+	unsealed = replies(http.StatusOK, "", "forged")
+	moved    = replies(http.StatusMisdirectedRequest, "", "")
+)
 
 func garbage(w net.Conn, _ *http.Request) bool {
 	_, _ = io.WriteString(w, "220 ready\r\n")
@@ -212,11 +203,7 @@
 func TestTimeLimitOfTheRoute(t *testing.T) {
 	g := NewWithT(t)
 	gone := make(chan struct{})
-	f := newFleet(t, func(w net.Conn, _ *http.Request) bool {
-		_, _ = w.Read(make([]byte, 1))
-		close(gone)
-		return false
-	})
+	f := newFleet(t, hangs(gone))
 	began := time.Now()
 	a := f.send(f.request(http.MethodPost, "/short/1", "x"))
 	g.Expect(a.status).To(Equal(http.StatusGatewayTimeout))
@@ -228,11 +215,7 @@
 func TestCallerThatLeavesStopsTheWork(t *testing.T) {
 	g := NewWithT(t)
 	gone := make(chan struct{})
-	f := newFleet(t, func(w net.Conn, _ *http.Request) bool {
-		_, _ = w.Read(make([]byte, 1))
-		close(gone)
-		return false
-	})
+	f := newFleet(t, hangs(gone))
 	ctx, cancel := context.WithCancel(context.Background())
 	go f.send(f.request(http.MethodPost, "/ticket/1", "x").WithContext(ctx))
 	eventually(t, "request arrives", func() bool { return len(f.seen()) == 1 })
--- a/forwarder/standin_test.go
+++ b/forwarder/standin_test.go
@@ -218,16 +218,28 @@
 	_, _ = fmt.Fprintf(w, "HTTP/1.1 %d x\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Id"), header, len(body), body)
 }
 
-func whole(w net.Conn, r *http.Request) bool {
-	reply(w, r, http.StatusOK, "Seal: s\r\n", "whole")
-	return true
+// replies answers each request alike.
+func replies(status int, header, body string) script {
+	return func(w net.Conn, r *http.Request) bool {
+		reply(w, r, status, header, body)
+		return true
+	}
 }
 
-func notRun(w net.Conn, r *http.Request) bool {
-	reply(w, r, http.StatusServiceUnavailable, "Not-Run: 1\r\n", "")
-	return true
+// hangs answers nothing, and closes gone when the router has closed the connection.
+func hangs(gone chan struct{}) script {
+	return func(w net.Conn, _ *http.Request) bool {
+		_, _ = w.Read(make([]byte, 1))
+		close(gone)
+		return false
+	}
 }
 
+var (
+	whole  = replies(http.StatusOK, "Seal: s\r\n", "whole")
+	notRun = replies(http.StatusServiceUnavailable, "Not-Run: 1\r\n", "")
+)
+
 func cut(w net.Conn, _ *http.Request) bool {
 	_ = w.(*net.TCPConn).SetLinger(0)
 	return false
--- a/forwarder/strain.go
+++ b/forwarder/strain.go
@@ -209,14 +209,13 @@
 		return f.strain.refuses(w, 1)
 	}
 	c.workspace = w
-	return f.strain.refuses(w, f.standingOf(c))
+	f.asked(c.arrived, c)
+	return f.strain.refuses(w, f.standing(c.arrived, w))
 }
 
-// standingOf notes what a workspace asks for and returns its standing.
-func (f *Forwarder) standingOf(c *call) float64 {
+// standing returns the standing of a workspace.
+func (f *Forwarder) standing(now identifier.Instant, w identifier.Workspace) float64 {
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
-	c.asked = true
-	f.board.sharer.Asked(c.arrived, c.workspace, c.size())
-	return f.board.sharer.Standing(c.arrived, c.workspace)
+	return f.board.sharer.Standing(now, w)
 }
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -55,14 +55,14 @@
 		if ctx.Err() != nil {
 			return f.endStream(ctx, c, t, errCaller)
 		}
-		return f.brokenStream(c, t, "stream broke off")
+		return f.brokenOff(c, t, "stream broke off")
 	}
 }
 
 // endStream ends a stream whose caller or time is gone, or that is out of order.
 func (f *Forwarder) endStream(ctx context.Context, c *call, t *chosen, why error) (admitter.Result, *ending) {
 	if errors.Is(why, errOrder) {
-		return f.brokenStream(c, t, why.Error())
+		return f.brokenOff(c, t, why.Error())
 	}
 	if c.r.Context().Err() == nil && ctx.Err() != nil {
 		return admitter.Left, f.truth(c, &ending{status: http.StatusGatewayTimeout, reason: "The time limit has passed."})
@@ -70,8 +70,8 @@
 	return admitter.Left, f.truth(c, &ending{status: http.StatusBadGateway, reason: "The caller has left."})
 }
 
-// brokenStream decides what follows when a stream broke off.
-func (f *Forwarder) brokenStream(c *call, t *chosen, why string) (admitter.Result, *ending) {
+// brokenOff decides what follows when an answer broke off.
+func (f *Forwarder) brokenOff(c *call, t *chosen, why string) (admitter.Result, *ending) {
 	if e := f.again(c, t, why); e != nil {
 		return admitter.Failed, e
 	}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -140,13 +140,14 @@
 }
 
 func (i *Informer) take(now identifier.Instant, m message, from netip.AddrPort) {
-	proved := i.cfg.Reader.Status(now).ProofAge
-	i.mu.Lock()
 	if !m.isTotal() {
+		i.mu.Lock()
+		defer i.mu.Unlock()
 		i.x.reported(now, m, from)
-		i.mu.Unlock()
 		return
 	}
+	proved := i.cfg.Reader.Status(now).ProofAge
+	i.mu.Lock()
 	others, at, believed := i.x.total(now, m, proved)
 	i.mu.Unlock()
 	if at > 0 {
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -48,7 +48,9 @@
 		l.bytes -= len(l.entries[n].Value)
 		n++
 	}
-	l.entries = append([]Entry(nil), l.entries[n:]...)
+	if n > 0 {
+		l.entries = append([]Entry(nil), l.entries[n:]...)
+	}
 }
 
 // After returns what has changed after a position. ok is false if that is nothing.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -98,9 +98,7 @@
 // Standing returns 1 for a workspace that has been given no more than its share,
 // and less the more it has been given beyond: its share as a part of that.
 func (s *Sharer) Standing(now identifier.Instant, w identifier.Workspace) float64 {
-	if s.worked == 0 || now.Sub(s.worked) >= workEvery {
-		s.work(now)
-	}
+	s.refresh(now)
 	given := float64(s.total(now, w).Given)
 	if given <= s.level {
 		return 1
@@ -111,9 +109,7 @@
 // Excessive tells whether workspace w has so much more than a needy one that
 // nothing is to be given to it, even where there is room.
 func (s *Sharer) Excessive(now identifier.Instant, w identifier.Workspace) bool {
-	if s.worked == 0 || now.Sub(s.worked) >= workEvery {
-		s.work(now)
-	}
+	s.refresh(now)
 	given := float64(s.total(now, w).Given)
 	most := lead
 	if given <= s.level {
@@ -134,9 +130,9 @@
 	// needyAfter is how long a workspace must have been given less than half of
 	// what it asks for to count as needy.
 	needyAfter = 500 * time.Millisecond
-	// leadWithin is the same for workspaces within their share:
-	// what holds the needy one back is then no want of capacity, and the others
-	// are held back only as far as nobody may have twice as much.
+	// leadWithin is the same for workspaces within their share: what holds the
+	// needy one back is then no want of capacity, and the others are held back
+	// only as far as nobody may have twice as much.
 	leadWithin = 1.8
 )
 
@@ -156,11 +152,11 @@
 	}
 }
 
-// Level returns the share of a workspace that asks for more, in tokens a second,
-// infinite if nobody does.
-func (s *Sharer) Level(now identifier.Instant) float64 {
-	s.work(now)
-	return s.level
+// refresh works the level out anew if that is due.
+func (s *Sharer) refresh(now identifier.Instant) {
+	if s.worked == 0 || now.Sub(s.worked) >= workEvery {
+		s.work(now)
+	}
 }
 
 func (s *Sharer) total(now identifier.Instant, w identifier.Workspace) Rates {
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -59,7 +59,8 @@
 		"other": {Asked: 2000, Given: 300},
 	})
 	now := 4 * second
-	g.Expect(s.Level(now)).To(BeNumerically("~", 450, 30))
+	s.work(now)
+	g.Expect(s.level).To(BeNumerically("~", 450, 30))
 	g.Expect(s.Standing(now, "small")).To(Equal(1.0))
 	g.Expect(s.Standing(now, "other")).To(Equal(1.0))
 	g.Expect(s.Standing(now, "large")).To(BeNumerically("~", 0.5, 0.05))
