--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -3,8 +3,6 @@
 import (
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"buckthorndrum/identifier"
 )
 
@@ -60,92 +58,72 @@
 // use.
 type Admitter struct {
 	targets map[identifier.Target]*state
-	pools   map[identifier.Pool][]*state
+	pools   map[identifier.Pool]*pool
 	// heard is when others' loads came last.
 	heard identifier.Instant
+	// forgot is when parts that are no longer used were dropped last.
+	forgot identifier.Instant
+	// options is the room for the targets that one choice weighs.
+	options []option
 }
 
 // New returns an admitter without targets.
 func New() *Admitter {
-	return &Admitter{targets: map[identifier.Target]*state{}, pools: map[identifier.Pool][]*state{}}
+	return &Admitter{targets: map[identifier.Target]*state{}, pools: map[identifier.Pool]*pool{}}
 }
 
 // SetTargets replaces the list of targets. What was learned of those that stay
 // is kept.
 func (a *Admitter) SetTargets(list []Target) {
 	next := make(map[identifier.Target]*state, len(list))
-	a.pools = map[identifier.Pool][]*state{}
+	pools := map[identifier.Pool]*pool{}
+	usual := map[identifier.Pool]pace{}
 	for _, t := range list {
+		p := pools[t.Pool]
+		if p == nil {
+			p = &pool{}
+			pools[t.Pool] = p
+			usual[t.Pool] = a.pools[t.Pool].usualPace()
+		}
 		s := a.targets[t.ID]
 		if s == nil || s.Start != t.Start {
-			s = &state{parts: held{}, pace: a.usualPace(t.Pool)}
+			s = &state{parts: held{}, pace: usual[t.Pool]}
 		}
 		s.Target = t
 		next[t.ID] = s
-		a.pools[t.Pool] = append(a.pools[t.Pool], s)
+		p.targets = append(p.targets, s)
+	}
+	for id, p := range pools {
+		if old := a.pools[id]; old != nil {
+			p.ring = old.ring
+		}
+		p.ring.replace(staying(p.targets))
 	}
-	a.targets = next
+	a.targets, a.pools = next, pools
 }
 
-// usualPace returns the mean pace of a pool's targets.
-func (a *Admitter) usualPace(p identifier.Pool) pace {
-	var sum pace
-	n := 0
-	for _, t := range a.targets {
-		if t.Pool == p {
-			sum.base += t.pace.base
-			sum.slope += t.pace.slope
-			n++
+// staying returns the targets that do not leave.
+func staying(list []*state) []*state {
+	found := make([]*state, 0, len(list))
+	for _, t := range list {
+		if !t.Leaving {
+			found = append(found, t)
 		}
 	}
-	if n == 0 {
-		return pace{base: initialBase, slope: initialSlope}
-	}
-	return pace{base: sum.base / time.Duration(n), slope: sum.slope / float64(n)}
+	return found
 }
 
 // Choose returns the target for a request, and notes nothing.
 func (a *Admitter) Choose(now identifier.Instant, q Ask) Choice {
-	usable := a.usable(now, q)
-	if len(usable) == 0 {
+	p := a.pools[q.Pool]
+	if p == nil {
 		return Choice{Refused: NoTarget, Wait: shunMost}
 	}
+	p.summarise(now)
 	if q.Model == "" {
-		return a.plain(usable, q)
-	}
-	return a.engine(now, usable, q)
-}
-
-// usable returns the targets of the pool that take work, without those that fail
-// much more than the others unless it is time to try one again.
-func (a *Admitter) usable(now identifier.Instant, q Ask) []*state {
-	var found []*state
-	for _, t := range a.pools[q.Pool] {
-		if t.Leaving || now < t.shunned || contains(q.Avoid, t.ID) {
-			continue
-		}
-		found = append(found, t)
-	}
-	usual := leastFailing(found)
-	sound := found[:0:0]
-	for _, t := range found {
-		if t.failing <= usual+failMost || now.Sub(t.tried) > tryEvery {
-			sound = append(sound, t)
-		}
-	}
-	if len(sound) == 0 {
-		return found
+		return p.plain(now, q)
 	}
-	return sound
-}
-
-// leastFailing returns the least share of failures.
-func leastFailing(list []*state) float64 {
-	least := 1.0
-	for _, t := range list {
-		least = min(least, t.failing)
-	}
-	return least
+	return a.engine(now, p, q)
 }
 
 func contains(list []identifier.Target, t identifier.Target) bool {
@@ -162,7 +140,11 @@
 const farPenalty = 1
 
 // plain picks the least loaded target of a service that reads no prompts.
-func (a *Admitter) plain(list []*state, q Ask) Choice {
+func (p *pool) plain(now identifier.Instant, q Ask) Choice {
+	list := p.pickable(now, q.Avoid)
+	if len(list) == 0 {
+		return Choice{Refused: NoTarget, Wait: shunMost}
+	}
 	best, least := list[0], 0.0
 	for i, t := range list {
 		l := float64(t.load().Running) / float64(max(1, t.Slots))
@@ -170,7 +152,7 @@
 			l += farPenalty / float64(max(1, t.Slots))
 		}
 		l += t.failing
-		l += float64(hash(q.Seed, t.ID)%1000) / 1e6
+		l += float64(mix(q.Seed+uint64(i))%1000) / 1e6
 		if i == 0 || l < least {
 			best, least = t, l
 		}
@@ -178,13 +160,6 @@
 	return Choice{Target: best.ID}
 }
 
-// hash orders targets differently for each seed.
-func hash(seed uint64, t identifier.Target) uint64 {
-	d := xxhash.NewWithSeed(seed)
-	_, _ = d.WriteString(string(t))
-	return d.Sum64()
-}
-
 // Sent is a request that was sent to a target, to be ended with Ended.
 type Sent struct {
 	target identifier.Target
@@ -290,10 +265,17 @@
 	for id, t := range a.targets {
 		t.others = loads[id]
 	}
+	for _, p := range a.pools {
+		p.worked = 0
+	}
 }
 
-// othersLife is how long what others said counts.
-const othersLife = time.Second
+const (
+	// othersLife is how long what others said counts.
+	othersLife = time.Second
+	// forgetEvery is how often parts that are no longer used are dropped.
+	forgetEvery = partLife / 10
+)
 
 // Tick forgets what others said if they are silent, and parts that are no longer
 // used.
@@ -301,6 +283,10 @@
 	if a.heard != 0 && now.Sub(a.heard) > othersLife {
 		a.Heard(0, nil)
 	}
+	if now.Sub(a.forgot) < forgetEvery {
+		return
+	}
+	a.forgot = now
 	for _, t := range a.targets {
 		t.parts.forget(now)
 	}
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -62,13 +62,12 @@
 func TestSpillGoesToTheFirstHomes(t *testing.T) {
 	g := NewWithT(t)
 	a := engines(12)
-	list := append([]*state(nil), a.pools["p"]...)
-	homes(list, chainKeys("m", ask(1).Chain), 0)
-	load := map[identifier.Target]Load{list[0].ID: {Running: 8}}
+	list := append([]option(nil), a.homes(second, a.pools["p"], ask(1), chainKeys("m", ask(1).Chain))...)
+	load := map[identifier.Target]Load{list[0].state.ID: {Running: 8}}
 	a.Heard(second, load)
-	g.Expect([]identifier.Target{list[1].ID, list[2].ID}).To(ContainElement(a.Choose(second, ask(1)).Target))
-	for _, t := range list[:firstHomes] {
-		load[t.ID] = Load{Running: 8}
+	g.Expect([]identifier.Target{list[1].state.ID, list[2].state.ID}).To(ContainElement(a.Choose(second, ask(1)).Target))
+	for _, o := range list[:firstHomes] {
+		load[o.state.ID] = Load{Running: 8}
 	}
 	a.Heard(second, load)
 	g.Expect(a.Choose(second, ask(1)).Refused).To(BeEmpty(), "within the share it goes further")
--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -1,7 +1,6 @@
 package admitter
 
 import (
-	"sort"
 	"time"
 
 	"buckthorndrum/identifier"
@@ -20,8 +19,12 @@
 	// spareShare is the part of the limit, in percent, up to which the targets of
 	// a pool may be busy on the average to count as having spare capacity.
 	spareShare = 10
-	// firstHomes is how many targets requests that share a part go to at first.
+	// firstHomes is how many targets requests that share a part go to at first, and
+	// maxHomes how many are weighed before the least loaded ones.
 	firstHomes = 3
+	maxHomes   = 8
+	// maxVisits bounds the points of the ring that are looked at for them.
+	maxVisits = 256
 	// memoryShare is the part of a target's memory that running requests may
 	// come to fill. The rest is for shared parts.
 	memoryShare = 0.8
@@ -45,36 +48,84 @@
 // engine picks the target of a model engine's pool at which the request costs
 // least: its wait there, and the shared parts that would have to be read again.
 // It goes beyond its first homes only if none of them has room.
-func (a *Admitter) engine(now identifier.Instant, list []*state, q Ask) Choice {
+func (a *Admitter) engine(now identifier.Instant, p *pool, q Ask) Choice {
 	keys := chainKeys(q.Model, q.Chain)
-	homes(list, keys, q.Seed)
-	options := make([]option, len(list))
-	soonest := time.Duration(-1)
-	for rank, t := range list {
-		options[rank] = a.weigh(now, t, q, keys, rank)
-		if soonest < 0 || options[rank].wait < soonest {
-			soonest = options[rank].wait
-		}
+	options := a.homes(now, p, q, keys)
+	if len(options) == 0 {
+		return Choice{Refused: NoTarget, Wait: shunMost}
 	}
 	near := min(len(options), firstHomes)
-	spare := q.Within || hasSpare(options, q)
+	spare := q.Within || p.ahead <= spareShare*q.Limit/100
 	best := cheapest(options[:near], q, spare)
 	if best == nil && q.Within {
-		best = cheapest(options[near:], q, spare)
+		best = cheapest(a.further(now, p, q, keys)[near:], q, spare)
 	}
 	if best == nil {
-		return Choice{Refused: Busy, Wait: soonest}
+		return Choice{Refused: Busy, Wait: a.soonest(p)}
 	}
 	return Choice{Target: best.state.ID, Wait: best.wait, Unread: best.unread}
 }
 
-// hasSpare tells whether the pool's targets have little to read.
-func hasSpare(options []option, q Ask) bool {
-	var sum time.Duration
-	for _, o := range options {
-		sum += o.ahead
+// homes weighs the targets that come first on the ring after the last shared part,
+// so that all routers send requests that share it to the same ones. Targets that
+// fail are passed over unless there are no others.
+func (a *Admitter) homes(now identifier.Instant, p *pool, q Ask, keys []chainKey) []option {
+	a.options = a.options[:0]
+	visits := 0
+	p.ring.walk(homeKey(keys, q.Seed), func(t *state) bool {
+		visits++
+		if !a.weighed(t) && p.usable(now, t, q.Avoid) && p.sound(now, t) {
+			a.options = append(a.options, a.weigh(now, t, q, keys, len(a.options)))
+		}
+		return len(a.options) < maxHomes && visits < maxVisits
+	})
+	if len(a.options) == 0 {
+		for _, t := range p.pickable(now, q.Avoid) {
+			a.options = append(a.options, a.weigh(now, t, q, keys, len(a.options)))
+		}
+	}
+	return a.options
+}
+
+// homeKey returns where on the ring the homes of a request begin.
+func homeKey(keys []chainKey, seed uint64) uint64 {
+	if n := len(keys); n > 1 {
+		seed = uint64(keys[n-2])
+	}
+	return mix(seed)
+}
+
+// weighed tells whether target t is among the options.
+func (a *Admitter) weighed(t *state) bool {
+	for i := range a.options {
+		if a.options[i].state == t {
+			return true
+		}
+	}
+	return false
+}
+
+// further adds the targets of the pool that have least ahead to the options, and
+// returns all.
+func (a *Admitter) further(now identifier.Instant, p *pool, q Ask, keys []chainKey) []option {
+	for _, t := range p.idlest {
+		if !a.weighed(t) && p.usable(now, t, q.Avoid) && p.sound(now, t) {
+			a.options = append(a.options, a.weigh(now, t, q, keys, len(a.options)))
+		}
+	}
+	return a.options
+}
+
+// soonest returns the least time to the request's first token that is known. The
+// first of the options is its home, where it only reads its own tokens.
+func (a *Admitter) soonest(p *pool) time.Duration {
+	soonest := p.soonest + a.options[0].own
+	for i := range a.options {
+		if w := a.options[i].wait; p.soonest < 0 || w < soonest {
+			soonest = w
+		}
 	}
-	return sum/time.Duration(len(options)) <= spareShare*q.Limit/100
+	return soonest
 }
 
 // cheapest returns the option of least cost that has room, or nil. Without spare
@@ -93,19 +144,6 @@
 	return best
 }
 
-// homes orders targets by a hash of the last shared part, so that all routers
-// send requests that share it to the same ones.
-func homes(list []*state, keys []chainKey, seed uint64) {
-	if n := len(keys); n > 1 {
-		seed = uint64(keys[n-2])
-	}
-	rank := make(map[identifier.Target]uint64, len(list))
-	for _, t := range list {
-		rank[t.ID] = hash(seed, t.ID)
-	}
-	sort.Slice(list, func(i, j int) bool { return rank[list[i].ID] < rank[list[j].ID] })
-}
-
 // weigh works out what the request would meet at target t, its rank-th home.
 func (a *Admitter) weigh(now identifier.Instant, t *state, q Ask, keys []chainKey, rank int) option {
 	o := option{state: t, load: t.load()}
--- /dev/null
+++ b/admitter/ring_test.go
@@ -0,0 +1,197 @@
+package admitter
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"buckthorndrum/identifier"
+)
+
+// home returns the first target of a ring after a key.
+func home(r *ring, key uint64) identifier.Target {
+	var id identifier.Target
+	r.walk(mix(key), func(t *state) bool { id = t.ID; return false })
+	return id
+}
+
+func states(from, to int) []*state {
+	var list []*state
+	for i := from; i < to; i++ {
+		list = append(list, &state{Target: Target{ID: identifier.Target(fmt.Sprintf("t%d", i))}})
+	}
+	return list
+}
+
+func ringOf(list []*state) *ring {
+	r := &ring{}
+	r.replace(list)
+	return r
+}
+
+// A ring that was changed step by step is the same as one made at once, so that
+// routers with different histories agree.
+func TestRingsAgreeWhateverTheirHistory(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := &ring{}
+		var list []*state
+		for i := 0; i < 6; i++ {
+			from := rapid.IntRange(0, 40).Draw(t, "from")
+			list = states(from, from+rapid.IntRange(0, 60).Draw(t, "n"))
+			r.replace(list)
+		}
+		fresh := ringOf(list)
+		if len(r.points) != len(fresh.points) {
+			t.Fatalf("%d points, %d if made at once", len(r.points), len(fresh.points))
+		}
+		for i, p := range r.points {
+			if p.at != fresh.points[i].at || p.state != fresh.points[i].state {
+				t.Fatalf("point %d differs", i)
+			}
+		}
+	})
+}
+
+func TestOnlyThePartsOfATargetThatLeavesMove(t *testing.T) {
+	g := NewWithT(t)
+	list := states(0, 40)
+	before, after := ringOf(list), ringOf(list[:39])
+	for key := uint64(0); key < 5000; key++ {
+		if was := home(before, key); was != "t39" {
+			g.Expect(home(after, key)).To(Equal(was))
+		}
+	}
+}
+
+// With as many points as a small ring has, nobody has twice its part.
+func TestRingIsEven(t *testing.T) {
+	g := NewWithT(t)
+	const targets, keys = 12, 12000
+	r := ringOf(states(0, targets))
+	count := map[identifier.Target]int{}
+	for key := uint64(0); key < keys; key++ {
+		count[home(r, key)]++
+	}
+	for id, n := range count {
+		g.Expect(n).To(BeNumerically("<", 2*keys/targets), string(id))
+		g.Expect(n).To(BeNumerically(">", keys/targets/2), string(id))
+	}
+}
+
+// What one choice looks at does not grow with the pool, also where all homes are
+// full.
+func TestAChoiceWeighsAFewTargetsOnly(t *testing.T) {
+	for _, n := range []int{12, 180, 3100} {
+		t.Run(fmt.Sprintf("%d targets", n), func(t *testing.T) {
+			g := NewWithT(t)
+			a := engines(n)
+			full := map[identifier.Target]Load{}
+			for id := range a.targets {
+				full[id] = Load{Running: 8, Unread: 50000}
+			}
+			a.Heard(second, full)
+			g.Expect(a.Choose(second, ask(1)).Refused).To(Equal(Busy))
+			g.Expect(len(a.options)).To(BeNumerically("<=", maxHomes+maxIdlest))
+		})
+	}
+}
+
+// Beyond its homes a request finds the targets that have least ahead, wherever
+// they are.
+func TestTheIdlestAreFound(t *testing.T) {
+	g := NewWithT(t)
+	a := engines(500)
+	load := map[identifier.Target]Load{}
+	for id := range a.targets {
+		load[id] = Load{Running: 8, Unread: 50000}
+	}
+	load["e321"] = Load{Running: 2, Unread: 100}
+	a.Heard(second, load)
+	g.Expect(a.Choose(second, ask(1)).Target).To(BeEquivalentTo("e321"))
+}
+
+// Targets that fail are passed over; if all do they are used all the same.
+func TestFailingHomesArePassedOver(t *testing.T) {
+	g := NewWithT(t)
+	a := engines(40)
+	first := a.Choose(second, ask(1)).Target
+	for i := 0; i < 20; i++ {
+		a.targets[first].answered(true)
+	}
+	a.targets[first].tried = second
+	a.pools["p"].worked = 0
+	g.Expect(a.Choose(second, ask(1)).Target).NotTo(Equal(first))
+	for _, s := range a.targets {
+		s.failing, s.tried = 1, second
+	}
+	a.pools["p"].worked = 0
+	g.Expect(a.Choose(second, ask(1)).Refused).To(BeEmpty())
+}
+
+var sizes = []int{12, 56, 180, 1000, 3100}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, full := range []bool{false, true} {
+		for _, n := range sizes {
+			b.Run(fmt.Sprintf("full=%v/targets=%d", full, n), func(b *testing.B) {
+				a := engines(n)
+				load := map[identifier.Target]Load{}
+				for id := range a.targets {
+					if full {
+						load[id] = Load{Running: 8, Unread: 50000}
+					}
+				}
+				a.Heard(second, load)
+				b.ReportAllocs()
+				b.ResetTimer()
+				for i := 0; i < b.N; i++ {
+					now := second.Add(time.Duration(i) * time.Millisecond)
+					q := ask(uint64(i % 200))
+					if c := a.Choose(now, q); c.Refused == "" {
+						a.Ended(now, a.Send(now, q, c), Answered)
+					}
+				}
+			})
+		}
+	}
+}
+
+func BenchmarkSetTargets(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			list := make([]Target, n)
+			for i := range list {
+				list[i] = Target{ID: identifier.Target(fmt.Sprintf("e%d", i)), Pool: "p", Slots: 8}
+			}
+			a := New()
+			a.SetTargets(list)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; i < b.N; i++ {
+				list[i%n].Start++
+				list[i%n].Leaving = !list[i%n].Leaving
+				a.SetTargets(list)
+			}
+		})
+	}
+}
+
+func BenchmarkHeard(b *testing.B) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("targets=%d", n), func(b *testing.B) {
+			a := engines(n)
+			load := map[identifier.Target]Load{}
+			for id := range a.targets {
+				load[id] = Load{Running: 3, Unread: 500}
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; i < b.N; i++ {
+				a.Heard(second, load)
+			}
+		})
+	}
+}
--- a/admitter/target.go
+++ b/admitter/target.go
@@ -52,8 +52,14 @@
 	failing float64
 	// tried is when a failing target was last given a request.
 	tried identifier.Instant
+	// ahead is the time that it needs for the prompts ahead, as of the last summary
+	// of its pool.
+	ahead time.Duration
 }
 
+// takesWork tells whether the target may be given work.
+func (t *state) takesWork(now identifier.Instant) bool { return !t.Leaving && now >= t.shunned }
+
 // load returns what all routers have under way at the target.
 func (t *state) load() Load { return t.own.plus(t.others) }
 
