--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -19,6 +20,10 @@
 type conn struct {
 	net.Conn
 	br *bufio.Reader
+	// head bounds what is read for the head of an answer.
+	head *headBound
+	// used tells that a request was sent on it before the one in hand.
+	used bool
 	// keep is how long it may stay idle, since when it is idle.
 	keep  time.Duration
 	since identifier.Instant
@@ -32,7 +37,8 @@
 const readBuffer = 4 << 10
 
 func newConn(c net.Conn) *conn {
-	return &conn{Conn: c, br: bufio.NewReaderSize(c, readBuffer), keep: unstatedIdle}
+	head := &headBound{r: c}
+	return &conn{Conn: c, br: bufio.NewReaderSize(head, readBuffer), head: head, keep: unstatedIdle}
 }
 
 func (k *conn) close() { _ = k.Close() }
@@ -104,11 +110,11 @@
 			return resp, nil
 		}
 		id := identify(resp.Header)
-		if id == c.ID || (id == "" && skipped == 0) {
+		if id == c.ID || id == "" && skipped == 0 && !k.used {
 			return resp, nil
 		}
 		if skipped >= maxForeign {
-			return nil, errors.New("too many answers to other requests")
+			return nil, errors.Errorf("more than %d answers to other requests", maxForeign)
 		}
 		if err := drain(resp); err != nil {
 			return nil, errors.Wrap(err, "skip an answer to another request")
@@ -116,8 +122,11 @@
 	}
 }
 
-// readFinal reads the next answer that is not an interim one.
+// readFinal reads the head of the next answer that is not an interim one. All
+// heads on the way to it together are bounded.
 func (k *conn) readFinal(c Call) (*http.Response, error) {
+	k.head.limit(maxHead)
+	defer k.head.lift()
 	for {
 		resp, err := http.ReadResponse(k.br, &http.Request{Method: c.Method})
 		if err != nil {
@@ -137,20 +146,20 @@
 
 func drain(resp *http.Response) error {
 	if resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return errors.New("the connection ends with it")
+		return errors.New("the connection ends with the answer to another request")
 	}
 	buf := make([]byte, readBuffer)
 	for total := 0; total < maxSkipped; {
 		n, err := resp.Body.Read(buf)
 		total += n
 		if err != nil {
-			if err.Error() == "EOF" {
+			if errors.Is(err, io.EOF) {
 				return nil
 			}
 			return err
 		}
 	}
-	return errors.New("it is too long")
+	return errors.Errorf("the answer to another request has more than %d bytes", maxSkipped)
 }
 
 // note takes the time that the target keeps the connection idle.
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -91,6 +91,7 @@
 			return p.dial(ctx, c.Address)
 		}
 		if k.quiet() {
+			k.used = true
 			return k, nil
 		}
 		k.close()
