--- a/exchanger/endless_test.go
+++ b/exchanger/endless_test.go
@@ -56,7 +56,7 @@
 			var f *Fault
 			g.Expect(errors.As(err, &f)).To(BeTrue())
 			g.Expect(f.Sent).To(BeTrue())
-			g.Expect(heap()-before).To(BeNumerically("<", 16*maxHead))
+			g.Expect(heap() - before).To(BeNumerically("<", 16*maxHead))
 			g.Expect(p.idle).To(BeEmpty())
 		})
 	}
--- /dev/null
+++ b/forwarder/bench_test.go
@@ -0,0 +1,73 @@
+package forwarder
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+)
+
+// benchHead is a caller's request as a stream's callers send it.
+const benchHead = "POST /once/x HTTP/1.1\r\nHost: desk\r\nId: id1\r\nKey: k\r\nModel: m\r\nPatience: 5000\r\nX-Token-Usage: 1460,80\r\n" +
+	"X-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nContent-Length: 12\r\n\r\nhello, there"
+
+// exchangeOnce sends a request on a connection and reads its answer.
+func exchangeOnce(b *testing.B, c net.Conn, br *bufio.Reader) int {
+	if _, err := io.WriteString(c, benchHead); err != nil {
+		b.Fatal(err)
+	}
+	resp, err := http.ReadResponse(br, nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	return resp.StatusCode
+}
+
+// BenchmarkRefusal is a request that is refused for want of processor time, on a
+// connection of its own.
+func BenchmarkRefusal(b *testing.B) {
+	f := newFleet(b, whole)
+	f.strain.share.Store(1000)
+	f.strain.since.Store(1)
+	f.strain.turns.note("w")
+	f.strain.turns.work(0)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := 0; i < b.N; i++ {
+		f.strain.share.Store(1000)
+		c, err := net.Dial("tcp4", f.address)
+		if err != nil {
+			b.Fatal(err)
+		}
+		exchangeOnce(b, c, bufio.NewReader(c))
+		_ = c.Close()
+	}
+}
+
+// BenchmarkStream is a stream of 20 events on a kept connection.
+func BenchmarkStream(b *testing.B) {
+	for _, targets := range []int{4, 180} {
+		b.Run(fmt.Sprintf("targets=%d", targets), func(b *testing.B) {
+			f := newFleet(b)
+			for i := 0; i < targets; i++ {
+				f.addTarget(fmt.Sprintf("t%d", i), events(20, true, ""))
+			}
+			c, err := net.Dial("tcp4", f.address)
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer func() { _ = c.Close() }()
+			br := bufio.NewReader(c)
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := 0; i < b.N; i++ {
+				if s := exchangeOnce(b, c, br); s != http.StatusOK {
+					b.Fatal(s)
+				}
+			}
+		})
+	}
+}
--- a/forwarder/standin_test.go
+++ b/forwarder/standin_test.go
@@ -60,7 +60,7 @@
 // fleet is a router with scripted targets.
 type fleet struct {
 	*Forwarder
-	t        *testing.T
+	t        testing.TB
 	address  string
 	mu       sync.Mutex
 	arrivals []arrival
@@ -74,7 +74,7 @@
 const testPool = identifier.Pool("pool")
 
 // newFleet starts a router and a target for each script.
-func newFleet(t *testing.T, scripts ...script) *fleet {
+func newFleet(t testing.TB, scripts ...script) *fleet {
 	t.Helper()
 	f := &fleet{t: t, address: freeAddress(t)}
 	router, err := Start(Config{
@@ -95,7 +95,7 @@
 	return f
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
