--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -215,12 +215,11 @@
 // chosen is a target that was picked for a request.
 type chosen struct {
 	choice  admitter.Choice
+	ask     admitter.Ask
 	address string
 	sent    *admitter.Sent
-	// counted tells that the sending counts as given to the workspace, and began
-	// that the target has begun to answer.
-	counted bool
-	began   bool
+	// began tells that the target has begun to answer.
+	began bool
 }
 
 // choose picks a target and notes the sending, or says why there is none.
@@ -247,12 +246,10 @@
 	if choice.Refused != "" {
 		return nil, f.truth(c, refused(choice))
 	}
-	t := &chosen{choice: choice, address: f.board.addresses[choice.Target], sent: f.board.admitter.Send(now, q, choice)}
 	if q.Model != "" && c.runs == 0 {
-		t.counted = true
 		f.board.sharer.Given(now, c.workspace, c.size())
 	}
-	return t, nil
+	return &chosen{choice: choice, ask: q, address: f.board.addresses[choice.Target], sent: f.board.admitter.Send(now, q, choice)}, nil
 }
 
 // defaultAim is the aim of a route that states none.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -5,8 +5,6 @@
 	"sort"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"buckthorndrum/identifier"
 )
 
@@ -14,23 +12,7 @@
 type Rates struct {
 	_     struct{} `cbor:",toarray"`
 	Asked int
-	// Given is what was sent to targets, and Begun the part of it that they have
-	// begun to answer.
 	Given int
-	Begun int
-}
-
-// Plus returns the sum of rates and sign times others, which is not negative.
-func (r Rates) Plus(o Rates, sign int) Rates {
-	return Rates{Asked: max(0, r.Asked+sign*o.Asked), Given: max(0, r.Given+sign*o.Given), Begun: max(0, r.Begun+sign*o.Begun)}
-}
-
-// Check reports whether decoded rates are well formed.
-func (r Rates) Check() error {
-	if r.Asked < 0 || r.Given < 0 || r.Begun < 0 {
-		return errors.Errorf("rates %d, %d and %d: one is negative", r.Asked, r.Given, r.Begun)
-	}
-	return nil
 }
 
 // Sharer is one router's view of the workspaces' rates. It is not safe for
@@ -53,7 +35,7 @@
 	kept []Rates
 }
 
-type usage struct{ asked, given, begun rate }
+type usage struct{ asked, given rate }
 
 const (
 	// othersLife is how long what others said counts.
@@ -81,12 +63,6 @@
 	s.usage(w).given.add(now, float64(tokens))
 }
 
-// Begun notes that a target has begun to answer a request of workspace w for
-// tokens.
-func (s *Sharer) Begun(now identifier.Instant, w identifier.Workspace, tokens int) {
-	s.usage(w).begun.add(now, float64(tokens))
-}
-
 func (s *Sharer) usage(w identifier.Workspace) *usage {
 	u := s.own[w]
 	if u == nil {
@@ -97,7 +73,7 @@
 }
 
 func (u *usage) rates(now identifier.Instant) Rates {
-	return Rates{Asked: int(u.asked.perSecond(now)), Given: int(u.given.perSecond(now)), Begun: int(u.begun.perSecond(now))}
+	return Rates{Asked: int(u.asked.perSecond(now)), Given: int(u.given.perSecond(now))}
 }
 
 // Own returns the rates that this router has seen itself, for its peers.
@@ -105,7 +81,7 @@
 	rates := make(map[identifier.Workspace]Rates, len(s.own))
 	for w, u := range s.own {
 		r := u.rates(now)
-		if r == (Rates{}) {
+		if r.Asked == 0 && r.Given == 0 {
 			delete(s.own, w)
 			continue
 		}
@@ -131,19 +107,16 @@
 }
 
 // Excessive tells whether workspace w has so much more than a needy one that
-// nothing is to be given to it, even where there is room. What counts is what
-// targets have begun: a router that is short of processor time sends requests that
-// none begins.
+// nothing is to be given to it, even where there is room.
 func (s *Sharer) Excessive(now identifier.Instant, w identifier.Workspace) bool {
 	s.refresh(now)
-	own := s.total(now, w)
-	begun := float64(own.Begun)
+	given := float64(s.total(now, w).Given)
 	most := lead
-	if float64(own.Given) <= s.level {
+	if given <= s.level {
 		most = leadWithin
 	}
 	for _, r := range s.kept {
-		if float64(r.Asked) >= begun && begun > most*float64(r.Begun) {
+		if float64(r.Asked) >= given && given > most*float64(r.Given) {
 			return true
 		}
 	}
@@ -165,7 +138,7 @@
 
 // noteNeed notes whether a workspace is given less than half of what it asks for.
 func (s *Sharer) noteNeed(now identifier.Instant, w identifier.Workspace, r Rates) {
-	if r.Asked <= 2*r.Begun || r.Asked == 0 {
+	if r.Asked <= 2*r.Given || r.Asked == 0 {
 		delete(s.needy, w)
 		return
 	}
@@ -191,7 +164,10 @@
 	if u := s.own[w]; u != nil {
 		sum = u.rates(now)
 	}
-	return sum.Plus(s.others[w], 1)
+	r := s.others[w]
+	sum.Asked += r.Asked
+	sum.Given += r.Given
+	return sum
 }
 
 // work finds the level at which the shares of all workspaces fill the capacity.
