--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -98,6 +98,17 @@
 	f.board.admitter.SetTargets(plain)
 }
 
+// Targets returns the targets that are listed.
+func (f *Forwarder) Targets() []identifier.Target {
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	list := make([]identifier.Target, 0, len(f.board.addresses))
+	for id := range f.board.addresses {
+		list = append(list, id)
+	}
+	return list
+}
+
 // Ready tells whether the router can serve: it has a configuration that may be
 // relied on, and is not about to end.
 func (f *Forwarder) Ready(now identifier.Instant) bool {
--- a/informer/exchange.go
+++ b/informer/exchange.go
@@ -9,6 +9,9 @@
 	"buckthorndrum/identifier"
 )
 
+// LongestPause is the most time between two messages of a router.
+const LongestPause = 300 * time.Millisecond
+
 const (
 	// hubs is how many routers each router reports to.
 	hubs = 2
@@ -16,7 +19,7 @@
 	// that what a hub handles grows slowly with the fleet.
 	perRouter = 3 * time.Millisecond
 	minEvery  = 50 * time.Millisecond
-	maxEvery  = 300 * time.Millisecond
+	maxEvery  = LongestPause
 	// reportLife is how long a report counts in a total, and totalLife a total.
 	reportLife = time.Second
 	totalLife  = 600 * time.Millisecond
@@ -27,6 +30,9 @@
 	// staleBy is by how much a hub's proof may be older than the own one. Beyond
 	// that the hub is passed over: it does not reach the store, and others do.
 	staleBy = time.Second
+	// candidates is how many routers that may be hubs have an entry in the store, so
+	// that the entries cost the same whatever the fleet's size.
+	candidates = 6
 	// keptReports is how many of its own reports a router keeps, to take its own
 	// part out of a total.
 	keptReports = 32
@@ -77,6 +83,8 @@
 	reports map[identifier.Router]*report
 	sent    [keptReports]sent
 	number  uint64
+	// routers is how many routers the latest total counted, this one included.
+	routers int
 }
 
 func newExchange(self identifier.Router) *exchange {
@@ -95,7 +103,24 @@
 
 // every returns the time between two messages.
 func (x *exchange) every() time.Duration {
-	return min(max(time.Duration(len(x.listed))*perRouter, minEvery), maxEvery)
+	n := max(len(x.listed), x.routers)
+	return min(max(time.Duration(n)*perRouter, minEvery), maxEvery)
+}
+
+// needed tells whether this router is to have an entry, so that others may choose
+// it as a hub: it had one, or fewer than enough that are as strong are listed and
+// answer.
+func (x *exchange) needed(now identifier.Instant) bool {
+	if _, listed := x.listed[x.self]; listed {
+		return true
+	}
+	n := 0
+	for id, p := range x.listed {
+		if p.Weight >= x.weight && !x.passedOver(now, id) {
+			n++
+		}
+	}
+	return n < candidates
 }
 
 // chosen returns the routers that are reported to now, and whether this router is
@@ -107,7 +132,10 @@
 			ids = append(ids, id)
 		}
 	}
-	ids = append(ids, x.self)
+	if _, listed := x.listed[x.self]; listed || len(ids) == 0 {
+		// Nobody reports to a router that has no entry.
+		ids = append(ids, x.self)
+	}
 	sort.Slice(ids, func(i, j int) bool {
 		if a, b := x.weightOf(ids[i]), x.weightOf(ids[j]); a != b {
 			return a > b
@@ -210,6 +238,7 @@
 	}
 	h.incarnation, h.number, h.heard, h.routers = m.Incarnation, m.Number, now, m.Routers
 	h.asked, h.passed = 0, 0
+	x.routers = m.Routers
 	if m.Status.ProofAge > proved+staleBy {
 		h.passed = now.Add(retryAfter)
 	}
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -112,6 +112,13 @@
 	return i.isHub
 }
 
+// Needed tells whether this router is to have an entry in the list of routers.
+func (i *Informer) Needed(now identifier.Instant) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.x.needed(now)
+}
+
 // Told tells whether a hub has told this router a total lately.
 func (i *Informer) Told(now identifier.Instant) bool {
 	i.mu.Lock()
@@ -205,6 +212,9 @@
 		addresses[n] = i.x.listed[id].Address
 	}
 	live := i.x.live(now)
+	if isHub {
+		i.x.routers = len(live) + 1
+	}
 	believed := isHub && i.x.believes(now, i.cfg.Self, len(live)+1)
 	i.mu.Unlock()
 
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -210,6 +210,40 @@
 	g.Expect(x.every()).To(Equal(maxEvery))
 }
 
+// The pace follows the routers that a hub has counted, as few are listed.
+func TestPaceFollowsWhatHubsCount(t *testing.T) {
+	g := NewWithT(t)
+	x := newTestExchange()
+	to, _ := x.chosen(second)
+	n := x.reporting(second, to, running1(1))
+	x.total(second, message{From: "a", Incarnation: 1, Number: 1, Routers: 500, Echo: n}, 0)
+	g.Expect(x.every()).To(Equal(maxEvery))
+}
+
+// A few routers that are as strong and answer are enough to choose hubs from.
+func TestEntriesAreNeededWhileFewAnswer(t *testing.T) {
+	g := NewWithT(t)
+	x := newExchange("self")
+	x.weight = 5
+	list := map[identifier.Router]Peer{"weak": {Weight: 1}}
+	x.list(list)
+	g.Expect(x.needed(second)).To(BeTrue())
+	for n := 0; n < candidates; n++ {
+		list[identifier.Router(rune('a'+n))] = Peer{Weight: 5}
+	}
+	x.list(list)
+	g.Expect(x.needed(second)).To(BeFalse())
+	_, isHub := x.chosen(second)
+	g.Expect(isHub).To(BeFalse(), "nobody reports to a router without an entry")
+	to, _ := x.chosen(second)
+	x.reporting(second, to, running1(1))
+	now := second.Add(2 * silentAfter)
+	g.Expect(x.needed(now)).To(BeTrue(), "two do not answer")
+	list["self"] = Peer{Weight: 5}
+	x.list(list)
+	g.Expect(x.needed(second)).To(BeTrue(), "it has one")
+}
+
 func FuzzDecode(f *testing.F) {
 	raw, err := cbor.Marshal(message{From: "a", Incarnation: 1, Summary: running1(1), Routers: 2, Echo: 1})
 	if err != nil {
