--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -38,8 +39,8 @@
 		a.Abort()
 		return f.brokenOff(c, t, "no stream to go on with")
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxHeld+1))
-	if err != nil || len(body) > maxHeld {
+	body, err := c.held.read(a.Body, a.Length, maxHeld)
+	if err != nil {
 		a.Abort()
 		c.note(err)
 		return f.unanswered(ctx, c, t, "answer broke off")
@@ -98,12 +99,21 @@
 	}
 }
 
+// breakOff ends an answer that has begun, so that it does not look complete. One of
+// HTTP/1.0 ends with its connection, which therefore is reset.
+func breakOff(r *http.Request) {
+	if tcp, ok := r.Context().Value(connKey{}).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
+		_ = tcp.SetLinger(0)
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // end answers a request that no target answered. One whose answer has begun is
 // broken off, so that it does not look complete.
 func (f *Forwarder) end(c *call, e ending) {
 	c.reason, c.status = e.reason, e.status
 	if c.begun() {
-		panic(http.ErrAbortHandler)
+		breakOff(c.r)
 	}
 	h := c.w.Header()
 	h.Set("Content-Type", "text/plain; charset=utf-8")
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -111,9 +111,10 @@
 		return f.truth(c, e)
 	case c.sends > maxUnsent+c.runs:
 		return f.truth(c, &ending{status: http.StatusServiceUnavailable, reason: "All targets are busy.", retryAfter: minRetryAfter})
-	case !f.mayRetry(clocker.Coarse(), c.pool):
+	case !c.granted && !f.mayRetry(clocker.Coarse(), c.pool):
 		return f.truth(c, &ending{status: http.StatusServiceUnavailable, reason: "All targets are busy.", retryAfter: time.Second})
 	}
+	c.granted = false
 	f.log.Info("sending again", zap.String("request", string(c.facts.ID)), zap.String("target", string(t.choice.Target)), zap.String("reason", why),
 		zap.Int("sends", c.sends), zap.Int("runs", c.runs), zap.String("fault", c.fault))
 	return nil
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
-	"io"
 	"math/rand/v2"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"buckthorndrum/admitter"
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
@@ -33,6 +35,10 @@
 	tried []identifier.Target
 	// asked tells that the request was noted as asked for.
 	asked bool
+	// granted tells that the next sending was taken from the retry budget already.
+	granted bool
+	// held is the memory that its body and its answer take up.
+	held holding
 	// stream is the answer's stream so far, nil before it began.
 	stream *stream
 	// seed spreads requests without a prompt.
@@ -51,7 +57,8 @@
 
 // ServeHTTP serves one caller's request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	c := &call{w: w, r: r, arrived: clocker.Coarse(), seed: rand.Uint64()}
+	c := &call{w: w, r: r, arrived: clocker.Coarse(), seed: rand.Uint64(), held: holding{ledger: &f.ledger}}
+	defer c.held.release()
 	if f.board.stopping.Load() || f.callers.crowded() || f.strain.sendsAway(c.arrived) {
 		w.Header().Set("Connection", "close")
 	}
@@ -148,7 +155,11 @@
 // defaultMaxBody bounds a body if the configuration does not, in bytes.
 const defaultMaxBody = 8 << 20
 
+// readBody reads a request's body within the request's time limit.
 func (f *Forwarder) readBody(c *call) *ending {
+	if c.r.ContentLength == 0 {
+		return nil
+	}
 	most := int64(defaultMaxBody)
 	if s := f.board.snapshot.Load(); s != nil && s.Limits.MaxBody > 0 {
 		most = s.Limits.MaxBody
@@ -156,17 +167,33 @@
 	if c.r.ContentLength > most {
 		return &ending{status: http.StatusRequestEntityTooLarge, reason: "The body is too large."}
 	}
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, most+1))
+	rc := http.NewResponseController(c.w)
+	_ = rc.SetReadDeadline(time.Now().Add(c.deadline.Sub(clocker.Coarse())))
+	body, err := c.held.read(c.r.Body, c.r.ContentLength, most)
 	if err != nil {
-		return &ending{status: http.StatusBadRequest, reason: "The body broke off."}
-	}
-	if int64(len(body)) > most {
-		return &ending{status: http.StatusRequestEntityTooLarge, reason: "The body is too large."}
+		return unreadBody(c, err)
 	}
+	_ = rc.SetReadDeadline(time.Time{})
 	c.body = body
 	return nil
 }
 
+// unreadBody is the ending of a request whose body was not read. Its connection
+// cannot be used again.
+func unreadBody(c *call, err error) *ending {
+	c.note(err)
+	c.w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, errLong):
+		return &ending{status: http.StatusRequestEntityTooLarge, reason: "The body is too large."}
+	case errors.Is(err, errMemory):
+		return &ending{status: http.StatusServiceUnavailable, reason: "There is no memory left for the body.", retryAfter: minRetryAfter}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &ending{status: http.StatusRequestTimeout, reason: "The body did not come in time."}
+	}
+	return &ending{status: http.StatusBadRequest, reason: "The body broke off."}
+}
+
 // run sends a request until it has an answer or is given up.
 func (f *Forwarder) run(ctx context.Context, c *call) *ending {
 	pool, ok := c.route.pick(c.seed)
@@ -215,29 +242,31 @@
 // chosen is a target that was picked for a request.
 type chosen struct {
 	choice  admitter.Choice
-	ask     admitter.Ask
 	address string
 	sent    *admitter.Sent
 	// began tells that the target has begun to answer.
 	began bool
 }
 
+// ask returns what a request wants of a target, given the standing of its workspace.
+func (f *Forwarder) ask(c *call, standing float64) admitter.Ask {
+	return admitter.Ask{
+		Pool: c.pool, Model: c.facts.Model, Chain: c.facts.Chain, Prompt: c.facts.Prompt, Output: c.facts.Output,
+		Size: f.board.snapshot.Load().pools[c.pool].Memory, Avoid: c.tried, Near: f.cfg.DataCentre, Seed: c.seed,
+		Within: standing >= 1, Limit: limit(c.route.Aim, standing),
+	}
+}
+
 // choose picks a target and notes the sending, or says why there is none.
 func (f *Forwarder) choose(c *call) (*chosen, *ending) {
-	s := f.board.snapshot.Load()
 	now := clocker.Coarse()
-	q := admitter.Ask{
-		Pool: c.pool, Model: c.facts.Model, Chain: c.facts.Chain, Prompt: c.facts.Prompt, Output: c.facts.Output,
-		Size: s.pools[c.pool].Memory, Avoid: c.tried, Near: f.cfg.DataCentre, Seed: c.seed,
-	}
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
 	standing := 1.0
-	if q.Model != "" && c.runs == 0 {
+	if c.facts.Model != "" && c.runs == 0 {
 		standing = f.board.sharer.Standing(now, c.workspace)
 	}
-	q.Within = standing >= 1
-	q.Limit = limit(c.route.Aim, standing)
+	q := f.ask(c, standing)
 	choice := admitter.Choice{Refused: admitter.BeyondShare, Wait: time.Second}
 	if q.Model == "" || c.runs > 0 || !f.board.sharer.Excessive(now, c.workspace) {
 		choice = f.board.admitter.Choose(now, q)
@@ -246,10 +275,11 @@
 	if choice.Refused != "" {
 		return nil, f.truth(c, refused(choice))
 	}
+	t := &chosen{choice: choice, address: f.board.addresses[choice.Target], sent: f.board.admitter.Send(now, q, choice)}
 	if q.Model != "" && c.runs == 0 {
 		f.board.sharer.Given(now, c.workspace, c.size())
 	}
-	return &chosen{choice: choice, ask: q, address: f.board.addresses[choice.Target], sent: f.board.admitter.Send(now, q, choice)}, nil
+	return t, nil
 }
 
 // defaultAim is the aim of a route that states none.
--- a/forwarder/callers.go
+++ b/forwarder/callers.go
@@ -22,10 +22,16 @@
 	mu   sync.Mutex
 	// idle holds since when a connection is idle or new, zero while it is in use.
 	idle map[net.Conn]identifier.Instant
+	// fresh are those on which nothing has come yet.
+	fresh map[net.Conn]bool
 }
 
+// freshLife is how long a new connection may be without a request before it counts
+// as idle: its caller has just opened it to send one.
+const freshLife = 250 * time.Millisecond
+
 func newCallers(most int) *callers {
-	return &callers{most: most, idle: map[net.Conn]identifier.Instant{}}
+	return &callers{most: most, idle: map[net.Conn]identifier.Instant{}, fresh: map[net.Conn]bool{}}
 }
 
 // connKey is the key of a caller's connection in the context of its requests.
@@ -40,6 +46,11 @@
 func (s *callers) note(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if state == http.StateNew {
+		s.fresh[c] = true
+	} else {
+		delete(s.fresh, c)
+	}
 	switch state {
 	case http.StateActive:
 		s.idle[c] = 0
@@ -102,7 +113,7 @@
 	var found, idle []net.Conn
 	for c, since := range s.idle {
 		switch {
-		case since == 0:
+		case since == 0 || s.fresh[c] && now.Sub(since) < freshLife:
 		case now.Sub(since) > limit:
 			found = append(found, c)
 		default:
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
 	"time"
 
@@ -26,6 +25,9 @@
 	Identify func(http.Header) string
 	// MaxCallers bounds the callers' connections, zero for no bound.
 	MaxCallers int
+	// MaxHeld bounds the bytes of bodies and answers that are held at a time, zero
+	// for no bound.
+	MaxHeld int64
 	Tunables
 	Log *zap.Logger
 }
@@ -66,6 +68,8 @@
 	silentAfter = 1500 * time.Millisecond
 	// maxIdle bounds the idle connections to one target.
 	maxIdle = 64
+	// maxCallerHead bounds the head of a caller's request, in bytes.
+	maxCallerHead = 64 << 10
 	// headerTimeout bounds the reading of a caller's header.
 	headerTimeout = 10 * time.Second
 	// callerIdle is how long a caller's connection may be idle if the
@@ -82,14 +86,17 @@
 	pool    *exchanger.Pool
 	callers *callers
 	// listener takes the callers' connections.
-	listener net.Listener
+	listener *port
 	server   *http.Server
-	metrics  *metrics
-	strain   strain
-	log      *zap.Logger
-	ctx      context.Context
-	cancel   context.CancelFunc
-	behind   chan int64
+	// served is closed when no connection is taken any more.
+	served  chan struct{}
+	ledger  ledger
+	metrics *metrics
+	strain  strain
+	log     *zap.Logger
+	ctx     context.Context
+	cancel  context.CancelFunc
+	behind  chan int64
 	// done is closed when the forwarder has stopped.
 	done chan struct{}
 }
@@ -110,14 +117,17 @@
 		log:     cfg.Log.Named("forwarder"),
 		callers: newCallers(cfg.MaxCallers),
 		behind:  make(chan int64, 1),
+		served:  make(chan struct{}),
 		done:    make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	f.listener = l
+	f.ledger.most = cfg.MaxHeld
 	f.metrics = newMetrics(f)
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxCallerHead,
 		ConnState:         f.callers.note,
 		ConnContext:       remember,
 		ErrorLog:          zap.NewStdLog(f.log),
@@ -129,14 +139,8 @@
 	return f, nil
 }
 
-// listen opens the callers' port. Probes of the connections that it takes would
-// cost four system calls each; idle ones are closed, and others have a time limit.
-func listen(address string) (net.Listener, error) {
-	cfg := net.ListenConfig{KeepAlive: -1}
-	return cfg.Listen(context.Background(), "tcp4", address)
-}
-
 func (f *Forwarder) serve() {
+	defer close(f.served)
 	err := f.server.Serve(f.listener)
 	if !errors.Is(err, http.ErrServerClosed) && !f.board.stopping.Load() {
 		f.log.Error("callers' port lost", reporter.Error(err))
@@ -183,7 +187,9 @@
 	case <-time.After(lingerNew):
 	case <-ctx.Done():
 	}
-	_ = f.listener.Close()
+	if err := f.listener.leave(f.served); err != nil {
+		f.log.Info("callers' port was closed before", reporter.Error(err))
+	}
 	err := f.callers.leave(ctx)
 	f.Stop()
 	return errors.Wrap(err, "wait for requests in hand")
--- a/forwarder/snapshot.go
+++ b/forwarder/snapshot.go
@@ -47,6 +47,8 @@
 	Timeout time.Duration
 	// Aim is the time to the first part of the answer at which it is on time.
 	Aim time.Duration
+	// Pause is the longest between two events of a stream at which it is on time.
+	Pause time.Duration
 	// Urgency orders kinds, zero first.
 	Urgency int
 	// Attempts is the most targets that one request may run at.
--- /dev/null
+++ b/forwarder/stall.go
@@ -0,0 +1,87 @@
+package forwarder
+
+import (
+	"sync/atomic"
+	"time"
+
+	"buckthorndrum/admitter"
+	"buckthorndrum/clocker"
+	"buckthorndrum/exchanger"
+	"buckthorndrum/identifier"
+)
+
+const (
+	// stallLeast is the least time without an event after which a stream counts as
+	// stalled.
+	stallLeast = time.Second
+	// stallAims and stallPauses are how many times its aim and its longest pause on
+	// time a stream may be without an event.
+	stallAims   = 2
+	stallPauses = 4
+)
+
+// stallAfter returns how long a stream of the route may be without an event before
+// it goes on elsewhere, while its caller still waits.
+func (r *Route) stallAfter() time.Duration {
+	return max(stallLeast, stallAims*r.Aim, stallPauses*r.Pause)
+}
+
+// stall watches whether a stream that may go on at another target has stalled: a
+// target that sends a byte, a comment or an empty event now and then makes no
+// progress.
+type stall struct {
+	timer *time.Timer
+	after time.Duration
+	// last is when the last event came that carries something, as an Instant.
+	last atomic.Int64
+	// stalled tells that the exchange was ended for another target to go on.
+	stalled atomic.Bool
+}
+
+// watchStall begins to watch the stream of an answer. A slow stream is left alone
+// where no other target can go on with it.
+func (f *Forwarder) watchStall(c *call, t *chosen, a *exchanger.Answer) *stall {
+	s := &stall{after: c.route.stallAfter()}
+	if !c.route.Resumable || c.runs >= c.route.Attempts {
+		return s
+	}
+	q := f.ask(c, 1)
+	q.Avoid = append(append([]identifier.Target(nil), c.tried...), t.choice.Target)
+	s.timer = time.AfterFunc(s.after, func() { f.lookAtStall(s, c.pool, q, a) })
+	return s
+}
+
+// lookAtStall ends the exchange of a stream that has stalled, if another target has
+// room and the retry budget allows it.
+func (f *Forwarder) lookAtStall(s *stall, p identifier.Pool, q admitter.Ask, a *exchanger.Answer) {
+	now := clocker.Coarse()
+	last := identifier.Instant(s.last.Load())
+	switch {
+	case last == 0:
+		// Before its first event a request waits in its target's queue.
+		s.timer.Reset(s.after)
+	case now.Sub(last) < s.after:
+		s.timer.Reset(s.after - now.Sub(last))
+	case !f.hasRoom(now, q) || !f.mayRetry(now, p):
+		s.timer.Reset(s.after)
+	default:
+		s.stalled.Store(true)
+		a.Abort()
+	}
+}
+
+// hasRoom tells whether a target would take a request.
+func (f *Forwarder) hasRoom(now identifier.Instant, q admitter.Ask) bool {
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	return f.board.admitter.Choose(now, q).Refused == ""
+}
+
+// progress notes that an event has come.
+func (s *stall) progress() { s.last.Store(int64(clocker.Coarse())) }
+
+func (s *stall) stop() {
+	if s.timer != nil {
+		s.timer.Stop()
+	}
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -1,7 +1,6 @@
 package forwarder
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -32,21 +31,23 @@
 
 // relayStream passes events on as they come, each of them whole.
 func (f *Forwarder) relayStream(ctx context.Context, c *call, t *chosen, a *exchanger.Answer) (admitter.Result, *ending) {
-	var pending []byte
+	p := &pending{held: &c.held}
+	s := f.watchStall(c, t, a)
+	defer s.stop()
 	buf := make([]byte, streamBuffer)
 	for {
 		n, err := a.Body.Read(buf)
-		pending = append(pending, buf[:n]...)
-		rest, gone := f.passEvents(c, t, a, pending)
-		if gone != nil {
+		if lack := p.add(buf[:n]); lack != nil {
+			err = lack
+		}
+		if gone := f.passEvents(c, t, a, p, s); gone != nil {
 			a.Abort()
 			return f.endStream(ctx, c, t, gone)
 		}
-		pending = rest
-		if err == nil && len(pending) <= maxEvent {
+		if err == nil && len(p.data) <= maxEvent {
 			continue
 		}
-		if errors.Is(err, io.EOF) && len(bytes.TrimSpace(pending)) == 0 && c.begun() {
+		if errors.Is(err, io.EOF) && p.empty() && c.begun() {
 			a.Keep()
 			return admitter.Answered, nil
 		}
@@ -55,6 +56,10 @@
 		if ctx.Err() != nil {
 			return f.endStream(ctx, c, t, errCaller)
 		}
+		if s.stalled.Load() {
+			c.granted = true
+			return f.brokenOff(c, t, "stream stalled")
+		}
 		return f.brokenOff(c, t, "stream broke off")
 	}
 }
@@ -78,32 +83,36 @@
 	return again, nil
 }
 
-// passEvents writes the whole events of data and returns the rest.
-func (f *Forwarder) passEvents(c *call, t *chosen, a *exchanger.Answer, data []byte) ([]byte, error) {
-	from, at := 0, 0
+// passEvents writes the whole events that have come.
+func (f *Forwarder) passEvents(c *call, t *chosen, a *exchanger.Answer, p *pending, s *stall) error {
+	defer p.compact()
+	from := p.taken
 	for {
-		n := eventEnd(data[at:])
-		if n < 0 {
+		start := p.taken
+		event := p.next()
+		if event == nil {
 			break
 		}
-		fresh, err := c.accept(data[at : at+n])
+		fresh, err := c.accept(event)
 		if err != nil {
-			return nil, err
+			return err
 		}
-		if !fresh && at > from {
-			return nil, errOrder
+		if !fresh && start > from {
+			return errOrder
 		}
 		if !fresh {
-			from = at + n
+			from = p.taken
+		} else if carries(event) {
+			s.progress()
 		}
-		at += n
 	}
-	if at > from {
-		if err := f.writeEvents(c, t, a, data[from:at]); err != nil {
-			return nil, errCaller
-		}
+	if p.taken == from {
+		return nil
+	}
+	if err := f.writeEvents(c, t, a, p.data[from:p.taken]); err != nil {
+		return errCaller
 	}
-	return data[at:], nil
+	return nil
 }
 
 func (f *Forwarder) writeEvents(c *call, t *chosen, a *exchanger.Answer, events []byte) error {
@@ -145,23 +154,6 @@
 // begun tells whether the caller has got a part of the answer.
 func (c *call) begun() bool { return c.stream != nil && c.stream.events > 0 }
 
-// eventEnd returns the length of the first event with its empty line, or -1.
-func eventEnd(b []byte) int {
-	for i := 0; i < len(b); i++ {
-		if b[i] != '\n' {
-			continue
-		}
-		rest := b[i+1:]
-		if len(rest) > 0 && rest[0] == '\n' {
-			return i + 2
-		}
-		if len(rest) > 1 && rest[0] == '\r' && rest[1] == '\n' {
-			return i + 3
-		}
-	}
-	return -1
-}
-
 // accept takes in one event. It is not fresh if the caller has it already, and an
 // error if one before it is missing.
 func (c *call) accept(event []byte) (fresh bool, err error) {
@@ -188,13 +180,3 @@
 	s.last, s.number, s.numbered = id, n, notNumber == nil
 	return true, nil
 }
-
-// eventID returns the id of an event.
-func eventID(event []byte) (string, bool) {
-	for _, line := range bytes.Split(event, []byte("\n")) {
-		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(v)), true
-		}
-	}
-	return "", false
-}
