--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -244,8 +244,10 @@
 	choice  admitter.Choice
 	address string
 	sent    *admitter.Sent
-	// began tells that the target has begun to answer.
-	began bool
+	// counted tells that the sending counts as given to the workspace, and began
+	// that the target has begun to answer.
+	counted bool
+	began   bool
 }
 
 // ask returns what a request wants of a target, given the standing of its workspace.
@@ -277,6 +279,7 @@
 	}
 	t := &chosen{choice: choice, address: f.board.addresses[choice.Target], sent: f.board.admitter.Send(now, q, choice)}
 	if q.Model != "" && c.runs == 0 {
+		t.counted = true
 		f.board.sharer.Given(now, c.workspace, c.size())
 	}
 	return t, nil
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -154,18 +154,21 @@
 	for {
 		select {
 		case <-ticks.C:
-			now := clocker.Now()
-			f.pool.Sweep(now)
-			f.callers.sweep(now, f.idleLimit())
-			f.board.mu.Lock()
-			f.board.admitter.Tick(now)
-			f.board.mu.Unlock()
+			reporter.Guard(f.log, "sweep", func() { f.sweepOnce(clocker.Now()) })
 		case <-f.ctx.Done():
 			return
 		}
 	}
 }
 
+func (f *Forwarder) sweepOnce(now identifier.Instant) {
+	f.pool.Sweep(now)
+	f.callers.sweep(now, f.idleLimit())
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	f.board.admitter.Tick(now)
+}
+
 // idleLimit returns how long a caller's connection may be idle.
 func (f *Forwarder) idleLimit() time.Duration {
 	if s := f.board.snapshot.Load(); s != nil && s.Limits.Idle > 0 {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -379,3 +379,25 @@
 	_, ok := (&Route{}).pick(1)
 	g.Expect(ok).To(BeFalse())
 }
+
+// A request counts as begun for its workspace once its target answers, and only if
+// its sending counted as given.
+func TestWhatHasBegunIsTold(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	f := newFleet(t, func(w net.Conn, r *http.Request) bool {
+		<-release
+		return whole(w, r)
+	})
+	r := f.request(http.MethodPost, "/once/1", "x")
+	r.Header.Set("Model", "m")
+	answered := make(chan got, 1)
+	go func() { answered <- f.send(r) }()
+	eventually(t, "request arrives", func() bool { return len(f.seen()) == 1 })
+	rates := f.Summary(clocker.Now()).Rates["w"]
+	g.Expect(rates.Given).To(BeNumerically(">", 0))
+	g.Expect(rates.Begun).To(BeZero())
+	close(release)
+	<-answered
+	g.Expect(f.Summary(clocker.Now()).Rates["w"].Begun).To(BeNumerically(">", 0))
+}
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -8,6 +8,7 @@
 	"buckthorndrum/clocker"
 	"buckthorndrum/exchanger"
 	"buckthorndrum/identifier"
+	"buckthorndrum/reporter"
 )
 
 const (
@@ -47,7 +48,10 @@
 	}
 	q := f.ask(c, 1)
 	q.Avoid = append(append([]identifier.Target(nil), c.tried...), t.choice.Target)
-	s.timer = time.AfterFunc(s.after, func() { f.lookAtStall(s, c.pool, q, a) })
+	p := c.pool
+	s.timer = time.AfterFunc(s.after, func() {
+		reporter.Guard(f.log, "look at a stream", func() { f.lookAtStall(s, p, q, a) })
+	})
 	return s
 }
 
--- a/forwarder/strain.go
+++ b/forwarder/strain.go
@@ -11,6 +11,7 @@
 
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
+	"buckthorndrum/reporter"
 )
 
 const (
@@ -133,7 +134,7 @@
 	for {
 		select {
 		case <-ticks.C:
-			f.lookIfDue(clocker.Coarse())
+			reporter.Guard(f.log, "look at the processor", func() { f.lookIfDue(clocker.Coarse()) })
 		case <-f.ctx.Done():
 			return
 		}
@@ -210,7 +211,13 @@
 	}
 	c.workspace = w
 	f.asked(c.arrived, c)
-	return f.strain.refuses(w, f.standing(c.arrived, w))
+	if !f.strain.refuses(w, f.standing(c.arrived, w)) {
+		return false
+	}
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	f.board.sharer.Left(c.arrived, w, c.size())
+	return true
 }
 
 // standing returns the standing of a workspace.
--- a/forwarder/summary.go
+++ b/forwarder/summary.go
@@ -24,8 +24,8 @@
 		}
 	}
 	for w, r := range s.Rates {
-		if r.Asked < 0 || r.Given < 0 {
-			return errors.Errorf("rates of workspace %q are negative", w)
+		if err := r.Check(); err != nil {
+			return errors.Wrapf(err, "check workspace %q", w)
 		}
 	}
 	return nil
@@ -54,8 +54,7 @@
 		sum.Loads[id] = admitter.Load{Running: max(0, a.Running+sign*l.Running), Unread: max(0, a.Unread+sign*l.Unread), Memory: max(0, a.Memory+sign*l.Memory)}
 	}
 	for w, r := range t.Rates {
-		a := sum.Rates[w]
-		sum.Rates[w] = sharer.Rates{Asked: max(0, a.Asked+sign*r.Asked), Given: max(0, a.Given+sign*r.Given)}
+		sum.Rates[w] = sum.Rates[w].Plus(r, sign)
 	}
 	return sum
 }
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -142,21 +142,16 @@
 			i.log.Warn("message not understood", zap.Stringer("peer", from), reporter.Error(err))
 			continue
 		}
-		i.take(clocker.Now(), m, from)
+		reporter.Guard(i.log, "take message", func() { i.take(clocker.Now(), m, from) })
 	}
 }
 
 func (i *Informer) take(now identifier.Instant, m message, from netip.AddrPort) {
 	if !m.isTotal() {
-		i.mu.Lock()
-		defer i.mu.Unlock()
-		i.x.reported(now, m, from)
+		i.reported(now, m, from)
 		return
 	}
-	proved := i.cfg.Reader.Status(now).ProofAge
-	i.mu.Lock()
-	others, at, believed := i.x.total(now, m, proved)
-	i.mu.Unlock()
+	others, at, believed := i.believe(now, m, i.cfg.Reader.Status(now).ProofAge)
 	if at > 0 {
 		i.relay(m)
 		i.cfg.Reader.Vouched(at, m.Status)
@@ -166,6 +161,18 @@
 	}
 }
 
+func (i *Informer) reported(now identifier.Instant, m message, from netip.AddrPort) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.x.reported(now, m, from)
+}
+
+func (i *Informer) believe(now identifier.Instant, m message, proved time.Duration) (others forwarder.Summary, at identifier.Instant, believed bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.x.total(now, m, proved)
+}
+
 func (i *Informer) relay(m message) {
 	if m.News != nil && i.cfg.Relay != nil {
 		i.cfg.Relay.Told(*m.News)
@@ -187,12 +194,9 @@
 
 func (i *Informer) tell(ctx context.Context) {
 	for {
-		i.mu.Lock()
-		pause := i.x.every()
-		i.mu.Unlock()
 		select {
-		case <-time.After(pause):
-			i.tellOnce(clocker.Now())
+		case <-time.After(i.pause()):
+			reporter.Guard(i.log, "tell", func() { i.tellOnce(clocker.Now()) })
 		case <-ctx.Done():
 			_ = i.conn.Close()
 			return
@@ -200,29 +204,47 @@
 	}
 }
 
-// tellOnce reports to the hubs, and tells those who report here the total.
-func (i *Informer) tellOnce(now identifier.Instant) {
-	own, status := i.cfg.Reader.Summary(now), i.cfg.Reader.Status(now)
+func (i *Informer) pause() time.Duration {
 	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.x.every()
+}
+
+// round is what one message to the hubs and one total to the others need.
+type round struct {
+	number    uint64
+	addresses []netip.AddrPort
+	live      []*report
+	// believed tells that this router's own total is the fullest.
+	believed bool
+}
+
+// next begins a round.
+func (i *Informer) next(now identifier.Instant, own forwarder.Summary) round {
+	i.mu.Lock()
+	defer i.mu.Unlock()
 	to, isHub := i.x.chosen(now)
 	i.isHub = isHub
-	number := i.x.reporting(now, to, own)
-	addresses := make([]netip.AddrPort, len(to))
-	for n, id := range to {
-		addresses[n] = i.x.listed[id].Address
+	r := round{number: i.x.reporting(now, to, own), live: i.x.live(now)}
+	for _, id := range to {
+		r.addresses = append(r.addresses, i.x.listed[id].Address)
 	}
-	live := i.x.live(now)
 	if isHub {
-		i.x.routers = len(live) + 1
+		i.x.routers = len(r.live) + 1
 	}
-	believed := isHub && i.x.believes(now, i.cfg.Self, len(live)+1)
-	i.mu.Unlock()
+	r.believed = isHub && i.x.believes(now, i.cfg.Self, len(r.live)+1)
+	return r
+}
 
-	m := message{From: i.cfg.Self, Incarnation: i.inc, Number: number, Summary: own, Status: status}
-	for _, a := range addresses {
+// tellOnce reports to the hubs, and tells those who report here the total.
+func (i *Informer) tellOnce(now identifier.Instant) {
+	own, status := i.cfg.Reader.Summary(now), i.cfg.Reader.Status(now)
+	r := i.next(now, own)
+	m := message{From: i.cfg.Self, Incarnation: i.inc, Number: r.number, Summary: own, Status: status}
+	for _, a := range r.addresses {
 		i.send(m, a)
 	}
-	i.total(now, m, live, believed)
+	i.total(now, m, r.live, r.believed)
 }
 
 // total adds up all reports and tells those who sent them.
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -287,3 +288,34 @@
 	to, _ = x.chosen(now)
 	g.Expect(to).To(Equal([]identifier.Router{"a", "b"}), "nobody reaches a store that is down")
 }
+
+// panicky fails unexpectedly at whatever it is told.
+type panicky struct {
+	*reader
+	told atomic.Int64
+}
+
+// Vouched implements Reader.
+func (p *panicky) Vouched(identifier.Instant, forwarder.Status) {
+	p.told.Add(1)
+	panic("odd total")
+}
+
+// One message that fails unexpectedly does not end the process, nor what follows.
+func TestUnexpectedErrorDoesNotEndTheExchange(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	odd := &panicky{reader: newReader(1)}
+	hub, err := Start(ctx, Config{Self: "a", Listen: "127.0.0.1:0", Weight: 2, Reader: newReader(2), Log: zap.NewNop()})
+	g.Expect(err).NotTo(HaveOccurred())
+	other, err := Start(ctx, Config{Self: "b", Listen: "127.0.0.1:0", Weight: 1, Reader: odd, Log: zap.NewNop()})
+	g.Expect(err).NotTo(HaveOccurred())
+	list := map[identifier.Router]Peer{}
+	for id, i := range map[identifier.Router]*Informer{"a": hub, "b": other} {
+		list[id] = Peer{Address: i.conn.LocalAddr().(*net.UDPAddr).AddrPort(), Weight: 1}
+	}
+	hub.SetPeers(list)
+	other.SetPeers(list)
+	g.Eventually(odd.told.Load, "3s").Should(BeNumerically(">=", 3))
+}
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"buckthorndrum/identifier"
 )
 
@@ -12,7 +14,40 @@
 type Rates struct {
 	_     struct{} `cbor:",toarray"`
 	Asked int
+	// Given is what was sent to targets, and Begun the part of it that they have
+	// begun to answer.
 	Given int
+	Begun int
+	// Left is the part of what was asked that routers short of processor time have
+	// left to others.
+	Left int
+}
+
+// had returns what the workspace counts as having when others are compared with
+// it. A router that is short of processor time sends requests that no target begins
+// in time, so that only what was begun counts there.
+func (r Rates) had() int {
+	if r.Left > r.Asked/leftPart {
+		return r.Begun
+	}
+	return r.Given
+}
+
+// leftPart is the part of what is asked from which on what is left to others
+// counts.
+const leftPart = 4
+
+// Plus returns the sum of rates and sign times others, which is not negative.
+func (r Rates) Plus(o Rates, sign int) Rates {
+	return Rates{Asked: max(0, r.Asked+sign*o.Asked), Given: max(0, r.Given+sign*o.Given), Begun: max(0, r.Begun+sign*o.Begun), Left: max(0, r.Left+sign*o.Left)}
+}
+
+// Check reports whether decoded rates are well formed.
+func (r Rates) Check() error {
+	if r.Asked < 0 || r.Given < 0 || r.Begun < 0 || r.Left < 0 {
+		return errors.Errorf("rates %+v: one is negative", r)
+	}
+	return nil
 }
 
 // Sharer is one router's view of the workspaces' rates. It is not safe for
@@ -35,7 +70,7 @@
 	kept []Rates
 }
 
-type usage struct{ asked, given rate }
+type usage struct{ asked, given, begun, left rate }
 
 const (
 	// othersLife is how long what others said counts.
@@ -63,6 +98,18 @@
 	s.usage(w).given.add(now, float64(tokens))
 }
 
+// Begun notes that a target has begun to answer a request of workspace w for
+// tokens.
+func (s *Sharer) Begun(now identifier.Instant, w identifier.Workspace, tokens int) {
+	s.usage(w).begun.add(now, float64(tokens))
+}
+
+// Left notes that a request of workspace w for tokens was left to other routers for
+// want of processor time.
+func (s *Sharer) Left(now identifier.Instant, w identifier.Workspace, tokens int) {
+	s.usage(w).left.add(now, float64(tokens))
+}
+
 func (s *Sharer) usage(w identifier.Workspace) *usage {
 	u := s.own[w]
 	if u == nil {
@@ -73,7 +120,7 @@
 }
 
 func (u *usage) rates(now identifier.Instant) Rates {
-	return Rates{Asked: int(u.asked.perSecond(now)), Given: int(u.given.perSecond(now))}
+	return Rates{Asked: int(u.asked.perSecond(now)), Given: int(u.given.perSecond(now)), Begun: int(u.begun.perSecond(now)), Left: int(u.left.perSecond(now))}
 }
 
 // Own returns the rates that this router has seen itself, for its peers.
@@ -81,7 +128,7 @@
 	rates := make(map[identifier.Workspace]Rates, len(s.own))
 	for w, u := range s.own {
 		r := u.rates(now)
-		if r.Asked == 0 && r.Given == 0 {
+		if r == (Rates{}) {
 			delete(s.own, w)
 			continue
 		}
@@ -116,7 +163,7 @@
 		most = leadWithin
 	}
 	for _, r := range s.kept {
-		if float64(r.Asked) >= given && given > most*float64(r.Given) {
+		if float64(r.Asked) >= given && given > most*float64(r.had()) {
 			return true
 		}
 	}
@@ -138,7 +185,7 @@
 
 // noteNeed notes whether a workspace is given less than half of what it asks for.
 func (s *Sharer) noteNeed(now identifier.Instant, w identifier.Workspace, r Rates) {
-	if r.Asked <= 2*r.Given || r.Asked == 0 {
+	if r.Asked <= 2*r.had() || r.Asked == 0 {
 		delete(s.needy, w)
 		return
 	}
@@ -164,10 +211,7 @@
 	if u := s.own[w]; u != nil {
 		sum = u.rates(now)
 	}
-	r := s.others[w]
-	sum.Asked += r.Asked
-	sum.Given += r.Given
-	return sum
+	return sum.Plus(s.others[w], 1)
 }
 
 // work finds the level at which the shares of all workspaces fill the capacity.
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -38,6 +38,9 @@
 
 const second = identifier.Instant(time.Second)
 
+// begun returns rates of which targets have begun all that was given.
+func begun(asked, given int) Rates { return Rates{Asked: asked, Given: given, Begun: given} }
+
 // steady lets workspaces ask for and be given rates, in tokens a second.
 func steady(s *Sharer, from, to identifier.Instant, rates map[identifier.Workspace]Rates) {
 	const steps = 20
@@ -45,6 +48,8 @@
 		for w, r := range rates {
 			s.Asked(at, w, r.Asked/steps)
 			s.Given(at, w, r.Given/steps)
+			s.Begun(at, w, r.Begun/steps)
+			s.Left(at, w, r.Left/steps)
 		}
 	}
 }
@@ -77,8 +82,8 @@
 		s := New()
 		s.SetCapacity(c.capacity)
 		rates := map[identifier.Workspace]Rates{
-			"held": {Asked: 4800, Given: 300}, "a": {Asked: 2000, Given: 660}, "b": {Asked: 2000, Given: 500}, "c": {Asked: 2000, Given: 350},
-			"small": {Asked: 200, Given: 90},
+			"held": begun(4800, 300), "a": begun(2000, 660), "b": begun(2000, 500), "c": begun(2000, 350),
+			"small": begun(200, 90),
 		}
 		for at := second; at < 5*second; at += second / 10 {
 			steady(s, at, at+second/10, rates)
@@ -91,6 +96,24 @@
 	}
 }
 
+// What a router that is short of processor time sends and no target begins is
+// nothing that its workspace has (large scale-1: FAIR). Elsewhere what was sent
+// counts: what begins lags, and those held back would count as needy themselves.
+func TestWhatAStrainedRouterSendsInVainIsNothingGiven(t *testing.T) {
+	g := NewWithT(t)
+	for left, excessive := range map[int]bool{0: false, 3000: true} {
+		s := New()
+		s.SetCapacity(2500)
+		rates := map[identifier.Workspace]Rates{"held": {Asked: 4800, Given: 900, Begun: 300, Left: left}, "a": begun(2000, 700), "b": begun(2000, 500)}
+		for at := second; at < 5*second; at += second / 10 {
+			steady(s, at, at+second/10, rates)
+			s.Excessive(at, "a")
+		}
+		g.Expect(s.Excessive(5*second, "a")).To(Equal(excessive))
+		g.Expect(s.Excessive(5*second, "b")).To(BeFalse())
+	}
+}
+
 // A router sees only a part of each workspace, so that the peers' rates count.
 func TestOthersCountUntilTheyAreSilent(t *testing.T) {
 	g := NewWithT(t)
