--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -153,43 +153,34 @@
 	return s.level / given
 }
 
-// Admits returns the part of workspace w's requests that are not held back, from 0
-// to 1. A workspace that asks for much more than a needy one has gets a part, also
-// where there is room. The part follows from what is asked for, which all routers
-// know alike: a bound on what was given, which they learn late, would let all of
-// them send at once as soon as it is not reached.
-func (s *Sharer) Admits(now identifier.Instant, w identifier.Workspace) float64 {
+// Excessive tells whether workspace w has so much more than a needy one that
+// nothing is to be given to it, even where there is room.
+func (s *Sharer) Excessive(now identifier.Instant, w identifier.Workspace) bool {
 	s.refresh(now)
-	own := s.total(now, w)
-	part := 1.0
+	given := float64(s.total(now, w).Given)
+	most := lead
+	if given <= s.level {
+		most = leadWithin
+	}
 	for _, r := range s.kept {
-		if r.Asked < own.Given {
-			continue
+		if float64(r.Asked) >= given && given > most*float64(r.had()) {
+			return true
 		}
-		allowed := lead * float64(r.had())
-		part = min(part, allowed/float64(max(1, own.Asked))*catchUp(allowed, float64(own.Given)))
-	}
-	return part
-}
-
-// catchUp returns by how much the part of a workspace is raised that was given less
-// than is allowed, as targets had no room for all that was admitted.
-func catchUp(allowed, given float64) float64 {
-	if given <= 0 {
-		return maxCatchUp
 	}
-	return min(max(allowed/given, 1), maxCatchUp)
+	return false
 }
 
 const (
-	// lead is how many times what a needy workspace has another may have, if the
-	// needy one asks for as much. Nobody may have twice as much.
-	lead = 1.6
-	// maxCatchUp bounds by how much the part of a workspace is raised.
-	maxCatchUp = 3
+	// lead is how many times what a needy workspace has another may have beyond
+	// its share, if the needy one asks for as much.
+	lead = 1.4
 	// needyAfter is how long a workspace must have been given less than half of
 	// what it asks for to count as needy.
 	needyAfter = 500 * time.Millisecond
+	// leadWithin is the same for workspaces within their share: what holds the
+	// needy one back is then no want of capacity, and the others are held back
+	// only as far as nobody may have twice as much.
+	leadWithin = 1.8
 )
 
 // noteNeed notes whether a workspace is given less than half of what it asks for.
