--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -250,6 +250,9 @@
 	began   bool
 }
 
+// draw returns a number from 0 to 1 that is the same for all choices of a request.
+func (c *call) draw() float64 { return float64(c.seed>>11) / (1 << 53) }
+
 // ask returns what a request wants of a target, given the standing of its workspace.
 func (f *Forwarder) ask(c *call, standing float64) admitter.Ask {
 	return admitter.Ask{
@@ -270,7 +273,7 @@
 	}
 	q := f.ask(c, standing)
 	choice := admitter.Choice{Refused: admitter.BeyondShare, Wait: time.Second}
-	if q.Model == "" || c.runs > 0 || !f.board.sharer.Excessive(now, c.workspace) {
+	if q.Model == "" || c.runs > 0 || c.draw() < f.board.sharer.Admits(now, c.workspace) {
 		choice = f.board.admitter.Choose(now, q)
 	}
 	c.standing, c.limit, c.choice = standing, q.Limit, choice
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -67,7 +67,9 @@
 	// for.
 	needy map[identifier.Workspace]identifier.Instant
 	// kept are those for which that has lasted, with what they have.
-	kept []Rates
+	kept map[identifier.Workspace]Rates
+	// parts are what is admitted of workspaces that are held back, below 1.
+	parts map[identifier.Workspace]float64
 }
 
 type usage struct{ asked, given, begun, left rate }
@@ -81,7 +83,7 @@
 
 // New returns a sharer without a limit.
 func New() *Sharer {
-	return &Sharer{own: map[identifier.Workspace]*usage{}, level: math.Inf(1), needy: map[identifier.Workspace]identifier.Instant{}}
+	return &Sharer{own: map[identifier.Workspace]*usage{}, level: math.Inf(1), needy: map[identifier.Workspace]identifier.Instant{}, kept: map[identifier.Workspace]Rates{}, parts: map[identifier.Workspace]float64{}}
 }
 
 // SetCapacity replaces the rate that is shared, in tokens a second; zero is no
@@ -153,39 +155,70 @@
 	return s.level / given
 }
 
-// Excessive tells whether workspace w has so much more than a needy one that
-// nothing is to be given to it, even where there is room.
-func (s *Sharer) Excessive(now identifier.Instant, w identifier.Workspace) bool {
+// Admits returns the part of workspace w's requests that is not held back, from
+// leastPart to 1.
+func (s *Sharer) Admits(now identifier.Instant, w identifier.Workspace) float64 {
 	s.refresh(now)
-	given := float64(s.total(now, w).Given)
-	most := lead
-	if given <= s.level {
-		most = leadWithin
-	}
-	for _, r := range s.kept {
-		if float64(r.Asked) >= given && given > most*float64(r.had()) {
-			return true
-		}
+	if part, held := s.parts[w]; held {
+		return part
 	}
-	return false
+	return 1
 }
 
 const (
-	// lead is how many times what a needy workspace has another may have beyond
-	// its share, if the needy one asks for as much.
+	// lead is how many times what a needy workspace has another may have, if the
+	// needy one asks for as much. Nobody may have twice as much.
 	lead = 1.4
+	// partGain is the power of the ratio of what is allowed to what was given by
+	// which the part of a workspace changes at each step. It is low, as rates show
+	// what has changed only after a window and two messages between routers.
+	partGain = 0.18
+	// leastPart is the least part that is admitted.
+	leastPart = 0.01
 	// needyAfter is how long a workspace must have been given less than half of
 	// what it asks for to count as needy.
 	needyAfter = 500 * time.Millisecond
-	// leadWithin is the same for workspaces within their share: what holds the
-	// needy one back is then no want of capacity, and the others are held back
-	// only as far as nobody may have twice as much.
-	leadWithin = 1.8
 )
 
-// noteNeed notes whether a workspace is given less than half of what it asks for.
+// holdBack moves the parts of the workspaces that have more than lead times what a
+// needy one has, and of those that were held back, one step towards that.
+func (s *Sharer) holdBack(totals map[identifier.Workspace]Rates) {
+	for w := range s.parts {
+		if _, known := totals[w]; !known {
+			delete(s.parts, w)
+		}
+	}
+	for w, own := range totals {
+		part, held := s.parts[w]
+		if !held {
+			part = 1
+		}
+		ratio := s.allowed(w, own) / float64(max(1, own.Given))
+		part = min(1, max(leastPart, part*math.Pow(ratio, partGain)))
+		if part == 1 {
+			delete(s.parts, w)
+			continue
+		}
+		s.parts[w] = part
+	}
+}
+
+// allowed returns what workspace w with some rates may be given, for the sake of
+// needy ones that ask for as much.
+func (s *Sharer) allowed(w identifier.Workspace, own Rates) float64 {
+	least := math.Inf(1)
+	for id, r := range s.kept {
+		if id != w && r.Asked >= own.Given {
+			least = min(least, lead*float64(max(1, r.had())))
+		}
+	}
+	return least
+}
+
+// noteNeed notes whether a workspace is given less than half of what it asks for. One
+// that is held back itself is not in need: it would hold back others, and they it.
 func (s *Sharer) noteNeed(now identifier.Instant, w identifier.Workspace, r Rates) {
-	if r.Asked <= 2*r.had() || r.Asked == 0 {
+	if _, held := s.parts[w]; held || r.Asked <= 2*r.had() || r.Asked == 0 {
 		delete(s.needy, w)
 		return
 	}
@@ -195,7 +228,7 @@
 		return
 	}
 	if now.Sub(since) >= needyAfter {
-		s.kept = append(s.kept, r)
+		s.kept[w] = r
 	}
 }
 
@@ -224,32 +257,33 @@
 	if s.capacity <= 0 {
 		return
 	}
-	s.kept = s.kept[:0]
-	s.level = Fill(s.wants(now), s.capacity)
+	clear(s.kept)
+	totals := s.totals(now)
+	asked := make([]float64, 0, len(totals))
+	for w, r := range totals {
+		asked = append(asked, float64(r.Asked))
+		s.noteNeed(now, w, r)
+	}
+	s.level = Fill(asked, s.capacity)
+	s.holdBack(totals)
 }
 
-// wants returns what each workspace asks for, in tokens a second, and notes which
-// are needy.
-func (s *Sharer) wants(now identifier.Instant) []float64 {
-	spaces := map[identifier.Workspace]bool{}
+// totals returns the rates of all workspaces, and forgets the needy ones among those
+// that have gone.
+func (s *Sharer) totals(now identifier.Instant) map[identifier.Workspace]Rates {
+	totals := make(map[identifier.Workspace]Rates, len(s.others)+len(s.own))
 	for w := range s.own {
-		spaces[w] = true
+		totals[w] = s.total(now, w)
 	}
 	for w := range s.others {
-		spaces[w] = true
+		totals[w] = s.total(now, w)
 	}
 	for w := range s.needy {
-		if !spaces[w] {
+		if _, known := totals[w]; !known {
 			delete(s.needy, w)
 		}
 	}
-	asked := make([]float64, 0, len(spaces))
-	for w := range spaces {
-		r := s.total(now, w)
-		asked = append(asked, float64(r.Asked))
-		s.noteNeed(now, w, r)
-	}
-	return asked
+	return totals
 }
 
 // Fill returns the max-min level of the rates asked within the capacity, and
