--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -5,51 +5,9 @@
 	"sort"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"buckthorndrum/identifier"
 )
 
-// Rates are what one workspace asked for and was given, in tokens a second.
-type Rates struct {
-	_     struct{} `cbor:",toarray"`
-	Asked int
-	// Given is what was sent to targets, and Begun the part of it that they have
-	// begun to answer.
-	Given int
-	Begun int
-	// Left is the part of what was asked that routers short of processor time have
-	// left to others.
-	Left int
-}
-
-// had returns what the workspace counts as having when others are compared with
-// it. A router that is short of processor time sends requests that no target begins
-// in time, so that only what was begun counts there.
-func (r Rates) had() int {
-	if r.Left > r.Asked/leftPart {
-		return r.Begun
-	}
-	return r.Given
-}
-
-// leftPart is the part of what is asked from which on what is left to others
-// counts.
-const leftPart = 4
-
-// Plus returns the sum of rates and sign times others, which is not negative.
-func (r Rates) Plus(o Rates, sign int) Rates {
-	return Rates{Asked: max(0, r.Asked+sign*o.Asked), Given: max(0, r.Given+sign*o.Given), Begun: max(0, r.Begun+sign*o.Begun), Left: max(0, r.Left+sign*o.Left)}
-}
-
-// Check reports whether decoded rates are well formed.
-func (r Rates) Check() error {
-	if r.Asked < 0 || r.Given < 0 || r.Begun < 0 || r.Left < 0 {
-		return errors.Errorf("rates %+v: one is negative", r)
-	}
-	return nil
-}
-
 // Sharer is one router's view of the workspaces' rates. It is not safe for
 // concurrent use.
 type Sharer struct {
@@ -155,83 +113,6 @@
 	return s.level / given
 }
 
-// Admits returns the part of workspace w's requests that is not held back, from
-// leastPart to 1.
-func (s *Sharer) Admits(now identifier.Instant, w identifier.Workspace) float64 {
-	s.refresh(now)
-	if part, held := s.parts[w]; held {
-		return part
-	}
-	return 1
-}
-
-const (
-	// lead is how many times what a needy workspace has another may have, if the
-	// needy one asks for as much. Nobody may have twice as much.
-	lead = 1.4
-	// partGain is the power of the ratio of what is allowed to what was given by
-	// which the part of a workspace changes at each step. It is low, as rates show
-	// what has changed only after a window and two messages between routers.
-	partGain = 0.18
-	// leastPart is the least part that is admitted.
-	leastPart = 0.01
-	// needyAfter is how long a workspace must have been given less than half of
-	// what it asks for to count as needy.
-	needyAfter = 500 * time.Millisecond
-)
-
-// holdBack moves the parts of the workspaces that have more than lead times what a
-// needy one has, and of those that were held back, one step towards that.
-func (s *Sharer) holdBack(totals map[identifier.Workspace]Rates) {
-	for w := range s.parts {
-		if _, known := totals[w]; !known {
-			delete(s.parts, w)
-		}
-	}
-	for w, own := range totals {
-		part, held := s.parts[w]
-		if !held {
-			part = 1
-		}
-		ratio := s.allowed(w, own) / float64(max(1, own.Given))
-		part = min(1, max(leastPart, part*math.Pow(ratio, partGain)))
-		if part == 1 {
-			delete(s.parts, w)
-			continue
-		}
-		s.parts[w] = part
-	}
-}
-
-// allowed returns what workspace w with some rates may be given, for the sake of
-// needy ones that ask for as much.
-func (s *Sharer) allowed(w identifier.Workspace, own Rates) float64 {
-	least := math.Inf(1)
-	for id, r := range s.kept {
-		if id != w && r.Asked >= own.Given {
-			least = min(least, lead*float64(max(1, r.had())))
-		}
-	}
-	return least
-}
-
-// noteNeed notes whether a workspace is given less than half of what it asks for. One
-// that is held back itself is not in need: it would hold back others, and they it.
-func (s *Sharer) noteNeed(now identifier.Instant, w identifier.Workspace, r Rates) {
-	if _, held := s.parts[w]; held || r.Asked <= 2*r.had() || r.Asked == 0 {
-		delete(s.needy, w)
-		return
-	}
-	since, known := s.needy[w]
-	if !known {
-		s.needy[w] = now
-		return
-	}
-	if now.Sub(since) >= needyAfter {
-		s.kept[w] = r
-	}
-}
-
 // refresh works the level out anew if that is due.
 func (s *Sharer) refresh(now identifier.Instant) {
 	if s.worked == 0 || now.Sub(s.worked) >= workEvery {
