--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -74,7 +74,7 @@
 	visits := 0
 	p.ring.walk(homeKey(keys, q.Seed), func(t *state) bool {
 		visits++
-		if !a.weighed(t) && p.usable(now, t, q.Avoid) && p.sound(now, t) {
+		if !a.weighed(t) && usable(now, t, q.Avoid) && p.sound(now, t) {
 			a.options = append(a.options, a.weigh(now, t, q, keys, len(a.options)))
 		}
 		return len(a.options) < maxHomes && visits < maxVisits
@@ -109,7 +109,7 @@
 // returns all.
 func (a *Admitter) further(now identifier.Instant, p *pool, q Ask, keys []chainKey) []option {
 	for _, t := range p.idlest {
-		if !a.weighed(t) && p.usable(now, t, q.Avoid) && p.sound(now, t) {
+		if !a.weighed(t) && usable(now, t, q.Avoid) && p.sound(now, t) {
 			a.options = append(a.options, a.weigh(now, t, q, keys, len(a.options)))
 		}
 	}
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -77,7 +77,7 @@
 }
 
 // usable tells whether target t may be given a request that avoids some targets.
-func (p *pool) usable(now identifier.Instant, t *state, avoid []identifier.Target) bool {
+func usable(now identifier.Instant, t *state, avoid []identifier.Target) bool {
 	return t.takesWork(now) && !contains(avoid, t.ID)
 }
 
@@ -90,18 +90,18 @@
 // pickable returns the targets that a request may be given. Those that fail much
 // more than the others are among them only if there are no others.
 func (p *pool) pickable(now identifier.Instant, avoid []identifier.Target) []*state {
-	var usable, sound []*state
+	var all, sound []*state
 	for _, t := range p.targets {
-		if !p.usable(now, t, avoid) {
+		if !usable(now, t, avoid) {
 			continue
 		}
-		usable = append(usable, t)
+		all = append(all, t)
 		if p.sound(now, t) {
 			sound = append(sound, t)
 		}
 	}
 	if len(sound) == 0 {
-		return usable
+		return all
 	}
 	return sound
 }
--- a/exchanger/endless_test.go
+++ b/exchanger/endless_test.go
@@ -203,6 +203,7 @@
 	if err != nil {
 		return "", false
 	}
+	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(io.LimitReader(resp.Body, maxSkipped))
 	if err != nil {
 		return "", false
--- a/forwarder/bench_test.go
+++ b/forwarder/bench_test.go
@@ -22,6 +22,7 @@
 	if err != nil {
 		b.Fatal(err)
 	}
+	defer func() { _ = resp.Body.Close() }()
 	_, _ = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode
 }
--- /dev/null
+++ b/forwarder/body.go
@@ -0,0 +1,53 @@
+package forwarder
+
+import (
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"buckthorndrum/clocker"
+)
+
+// defaultMaxBody bounds a body if the configuration does not, in bytes.
+const defaultMaxBody = 8 << 20
+
+// readBody reads a request's body within the request's time limit.
+func (f *Forwarder) readBody(c *call) *ending {
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	most := int64(defaultMaxBody)
+	if s := f.board.snapshot.Load(); s != nil && s.Limits.MaxBody > 0 {
+		most = s.Limits.MaxBody
+	}
+	if c.r.ContentLength > most {
+		return &ending{status: http.StatusRequestEntityTooLarge, reason: "The body is too large."}
+	}
+	rc := http.NewResponseController(c.w)
+	_ = rc.SetReadDeadline(time.Now().Add(c.deadline.Sub(clocker.Coarse())))
+	body, err := c.held.read(c.r.Body, c.r.ContentLength, most)
+	if err != nil {
+		return unreadBody(c, err)
+	}
+	_ = rc.SetReadDeadline(time.Time{})
+	c.body = body
+	return nil
+}
+
+// unreadBody is the ending of a request whose body was not read. Its connection
+// cannot be used again.
+func unreadBody(c *call, err error) *ending {
+	c.note(err)
+	c.w.Header().Set("Connection", "close")
+	switch {
+	case errors.Is(err, errLong):
+		return &ending{status: http.StatusRequestEntityTooLarge, reason: "The body is too large."}
+	case errors.Is(err, errMemory):
+		return &ending{status: http.StatusServiceUnavailable, reason: "There is no memory left for the body.", retryAfter: minRetryAfter}
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &ending{status: http.StatusRequestTimeout, reason: "The body did not come in time."}
+	}
+	return &ending{status: http.StatusBadRequest, reason: "The body broke off."}
+}
--- a/forwarder/faults_test.go
+++ b/forwarder/faults_test.go
@@ -280,6 +280,7 @@
 			_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 			g.Expect(err).NotTo(HaveOccurred())
+			defer func() { _ = resp.Body.Close() }()
 			g.Expect(resp.StatusCode).To(Equal(http.StatusRequestTimeout))
 			g.Expect(resp.Close).To(BeTrue())
 			g.Expect(f.seen()).To(BeEmpty())
@@ -304,6 +305,7 @@
 		g.Expect(err).NotTo(HaveOccurred())
 		g.Expect(resp.StatusCode).To(Equal(http.StatusOK))
 		_, _ = io.Copy(io.Discard, resp.Body)
+		g.Expect(resp.Body.Close()).To(Succeed())
 		time.Sleep(350 * time.Millisecond)
 	}
 }
@@ -360,6 +362,7 @@
 	if err != nil {
 		return got{broken: true}
 	}
+	defer func() { _ = resp.Body.Close() }()
 	_, err = io.Copy(io.Discard, resp.Body)
 	return got{status: resp.StatusCode, broken: err != nil}
 }
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -36,11 +36,7 @@
 	m.gauge("buckthorndrum_forwarder_proof_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
 		return clocker.Now().Sub(identifier.Instant(f.board.proved.Load())).Seconds()
 	})
-	m.gauge("buckthorndrum_forwarder_targets", "Targets listed.", func() float64 {
-		f.board.mu.Lock()
-		defer f.board.mu.Unlock()
-		return float64(len(f.board.addresses))
-	})
+	m.gauge("buckthorndrum_forwarder_targets", "Targets listed.", func() float64 { return float64(len(f.Targets())) })
 	m.gauge("buckthorndrum_forwarder_peers", "Other routers heard lately.", func() float64 {
 		f.board.mu.Lock()
 		defer f.board.mu.Unlock()
