--- a/forwarder/port.go
+++ b/forwarder/port.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // port is where callers connect. When it closes, it first hands on the connections
@@ -27,6 +28,7 @@
 // cost four system calls each; idle ones are closed, and others have a time limit.
 func listen(address string) (*port, error) {
 	cfg := net.ListenConfig{KeepAlive: -1}
+	cfg.SetMultipathTCP(false)
 	l, err := cfg.Listen(context.Background(), "tcp4", address)
 	if err != nil {
 		return nil, err
@@ -47,8 +49,11 @@
 	return c, err
 }
 
-// leave closes the port once its queue is empty.
+// leave closes the port once its queue is empty. Nothing new comes into the queue
+// meanwhile: what came after it was last emptied would be reset by the close. Where
+// the kernel takes no filter, connections go on to be accepted until none comes.
 func (p *port) leave(served <-chan struct{}) error {
+	_ = p.filter(noNewConnections)
 	p.closing.Store(true)
 	if err := p.SetDeadline(time.Now().Add(queueQuiet)); err != nil {
 		return errors.Wrap(err, "stop taking connections")
@@ -59,3 +64,42 @@
 	}
 	return errors.Wrap(p.Close(), "close the callers' port")
 }
+
+// noNewConnections is a filter of TCP segments that drops those that ask for a new
+// connection (SYN without ACK) and passes all others, so that handshakes that have
+// begun come to their end. See bpf(4) and RFC 9293, section 3.1.
+var noNewConnections = []unix.SockFilter{
+	{Code: unix.BPF_LD | unix.BPF_B | unix.BPF_ABS, K: tcpFlagsAt},
+	{Code: unix.BPF_ALU | unix.BPF_AND | unix.BPF_K, K: tcpSYN | tcpACK},
+	{Code: unix.BPF_JMP | unix.BPF_JEQ | unix.BPF_K, Jt: 0, Jf: 1, K: tcpSYN},
+	{Code: unix.BPF_RET | unix.BPF_K, K: 0},
+	{Code: unix.BPF_RET | unix.BPF_K, K: wholeSegment},
+}
+
+const (
+	// tcpFlagsAt is the offset of the flags in a TCP header, in bytes.
+	tcpFlagsAt = 13
+	tcpSYN     = 0x02
+	tcpACK     = 0x10
+	// wholeSegment passes a segment uncut, in bytes.
+	wholeSegment = 1 << 16
+)
+
+// filter has the kernel apply a filter to what comes to the port. A caller whose
+// request for a connection is dropped asks again after its kernel's time (a second),
+// and is refused by the closed port.
+func (p *port) filter(steps []unix.SockFilter) error {
+	raw, err := p.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "reach the callers' port")
+	}
+	program := unix.SockFprog{Len: uint16(len(steps)), Filter: &steps[0]}
+	var set error
+	err = raw.Control(func(fd uintptr) {
+		set = unix.SetsockoptSockFprog(int(fd), unix.SOL_SOCKET, unix.SO_ATTACH_FILTER, &program)
+	})
+	if err != nil {
+		return errors.Wrap(err, "reach the callers' port")
+	}
+	return errors.Wrap(set, "set the filter of the callers' port")
+}
