--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -48,7 +48,22 @@
 		return false, f.again(c, t, "answer is not the target's")
 	}
 	result, e = f.relay(ctx, c, t, a)
-	return e == nil && result != again, e
+	done = e == nil && result != again
+	if done {
+		f.whole(c)
+	}
+	return done, e
+}
+
+// whole notes that a caller has got an answer whole.
+func (f *Forwarder) whole(c *call) {
+	size := c.size()
+	if size == 0 {
+		return
+	}
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	f.board.sharer.Whole(clocker.Coarse(), c.workspace, size)
 }
 
 // again is the result of an answer that did not reach the caller, so that the
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -199,10 +199,8 @@
 	choice  admitter.Choice
 	address string
 	sent    *admitter.Sent
-	// counted tells that the sending counts as given to the workspace, and began
-	// that the target has begun to answer.
-	counted bool
-	began   bool
+	// began tells that the target has begun to answer.
+	began bool
 }
 
 // draw returns a number from 0 to 1 that is the same for all choices of a request.
@@ -237,7 +235,6 @@
 	}
 	t := &chosen{choice: choice, address: f.board.addresses[choice.Target], sent: f.board.admitter.Send(now, q, choice)}
 	if q.Model != "" && c.runs == 0 {
-		t.counted = true
 		f.board.sharer.Given(now, c.workspace, c.size())
 	}
 	return t, nil
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -142,9 +142,6 @@
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
 	f.board.admitter.Began(now, t.sent)
-	if t.counted {
-		f.board.sharer.Begun(now, c.workspace, c.size())
-	}
 }
 
 // note keeps an error of a connection for the request's line.
--- a/sharer/hold.go
+++ b/sharer/hold.go
@@ -11,6 +11,12 @@
 // leastPart to 1, or zero while it has been given all that it may have at once.
 func (s *Sharer) Admits(now identifier.Instant, w identifier.Workspace) float64 {
 	s.refresh(now)
+	return s.part(now, w)
+}
+
+// part returns the part of a workspace's requests that is admitted, as it was last
+// worked out.
+func (s *Sharer) part(now identifier.Instant, w identifier.Workspace) float64 {
 	if s.full(now, w) {
 		return 0
 	}
@@ -21,49 +27,50 @@
 }
 
 const (
-	// lead is how many times what a needy workspace has another may have, if the
-	// needy one asks for about as much. Nobody may have twice as much.
+	// lead is how many times what a needy workspace has another may have that is
+	// held back for its sake. Nobody may have twice as much.
 	lead = 1.3
-	// burst is how many times what it is allowed a workspace may have been given
-	// within a window. With lead it is below twice what the needy one has.
-	burst = 1.25
+	// leadMost is from how many times on it is held back. What lies between is left
+	// to chance: requests are few and come in lumps.
+	leadMost = 1.6
 	// comparable is how many times what a needy one asks for another may have for
 	// the two to be compared. Whoever asks for much less is served sooner by its
 	// standing than by holding others back.
 	comparable = 2
-	// partGain is the power of the ratio of what is allowed to what was given by
-	// which the part of a workspace changes in each workEvery. It is low, as rates
-	// show what has changed only after a window and two messages between routers.
-	partGain = 0.2
-	// gainMost bounds that power where the last change is long ago.
-	gainMost = 1
 	// leastPart is the least part that is admitted, as long as the workspace is not
 	// full.
 	leastPart = 0.01
+	// leastTaken is the least part of what is admitted that targets are taken to have
+	// room for.
+	leastTaken = 0.1
 	// needyAfter is how long a workspace must have been given less than half of
 	// what it asks for to count as needy.
 	needyAfter = 200 * time.Millisecond
+	// cutOff is the part of its share below which a workspace is given so little that
+	// it is not others who keep it from more, but an outage.
+	cutOff = 1.0 / 32
 )
 
-// full tells whether this router has given a workspace burst times its own part of
-// what that is allowed. Parts follow what all routers have given only after a while:
-// without this bound, which waits for no message, a load that comes all of a sudden
-// would have many times its share until then.
+// full tells whether this router has given a workspace its own part of all that it
+// may have. Parts follow what all routers have given only after a while: without this
+// bound, which waits for no message, a load that comes all of a sudden would have
+// many times its share until then.
 func (s *Sharer) full(now identifier.Instant, w identifier.Workspace) bool {
-	limit, limited := s.limits[w]
+	had, limited := s.limits[w]
 	u := s.own[w]
 	if !limited || u == nil {
 		return false
 	}
 	own := u.rates(now)
 	all := own.Plus(s.others[w], 1)
-	return float64(own.had()) >= burst*limit*float64(own.open())/float64(max(1, all.open()))
+	part := float64(own.open()) / float64(max(1, all.open()))
+	return float64(own.had()) >= leadMost*had*part
 }
 
-// holdBack moves the parts of the workspaces that have more than lead times what a
-// needy one has, and of those that were held back, towards that. The step is that
-// of the time since the last one.
-func (s *Sharer) holdBack(elapsed time.Duration, totals map[identifier.Workspace]Rates) {
+// holdBack works out the parts of the workspaces that have more than leadMost times
+// what a needy one has, and of those that were held back, so that they get lead times
+// that.
+func (s *Sharer) holdBack(totals map[identifier.Workspace]Rates) {
 	for w := range s.parts {
 		if _, known := totals[w]; !known {
 			delete(s.parts, w)
@@ -73,53 +80,61 @@
 	if len(s.kept) == 0 && len(s.parts) == 0 {
 		return
 	}
-	gain := min(gainMost, partGain*elapsed.Seconds()/workEvery.Seconds())
-	for w, own := range totals {
-		limit := s.kept.allowed(w, own)
-		if !math.IsInf(limit, 1) {
-			s.limits[w] = limit
+	for w, r := range totals {
+		had := min(s.kept.least(w, r), s.heldToo.least(w, r))
+		if !math.IsInf(had, 1) {
+			s.limits[w] = had
+		}
+		if _, held := s.parts[w]; held || float64(r.had()) > leadMost*had {
+			s.hold(w, r, lead*had)
 		}
-		s.move(w, math.Pow(limit/float64(max(1, own.had())), gain))
 	}
 }
 
-// move changes the part of a workspace by a factor.
-func (s *Sharer) move(w identifier.Workspace, factor float64) {
-	part, held := s.parts[w]
-	if !held {
-		part = 1
-	}
-	part = min(1, max(leastPart, part*factor))
-	if part == 1 {
+// hold admits so much of what a workspace asks for that it gets what is allowed, as
+// far as targets have room: they take the same part of it as they did of late. All
+// three rates are of one window, so that none lags behind the others.
+func (s *Sharer) hold(w identifier.Workspace, r Rates, allowed float64) {
+	taken := min(1, max(leastTaken, float64(r.had())/float64(max(1, r.Admitted))))
+	part := allowed / (taken * float64(max(1, r.open())))
+	if part >= 1 {
 		delete(s.parts, w)
 		return
 	}
-	s.parts[w] = part
+	s.parts[w] = max(leastPart, part)
 }
 
-// noteNeed notes whether a workspace is given less than half of what it asks for.
-func (s *Sharer) noteNeed(now identifier.Instant, w identifier.Workspace, r Rates) {
-	had := s.hadIfFree(w, r)
-	if r.Asked <= 2*had {
+// noteNeeds notes which workspaces are given less than half of what they ask for. One
+// that is held back itself counts with what it is allowed for the sake of the others:
+// what it lacks of that is no reason to hold back those who would hold it back in turn.
+func (s *Sharer) noteNeeds(now identifier.Instant, totals map[identifier.Workspace]Rates) {
+	s.kept, s.heldToo = s.kept[:0], s.heldToo[:0]
+	for w, r := range totals {
+		if _, held := s.parts[w]; !held && s.inNeed(now, w, r, float64(r.had())) {
+			s.kept = append(s.kept, needyOne{workspace: w, asked: r.Asked, had: float64(r.had())})
+		}
+	}
+	s.kept.arrange()
+	for w := range s.parts {
+		r := totals[w]
+		if had := max(float64(r.had()), lead*s.kept.least(w, r)); s.inNeed(now, w, r, had) {
+			s.heldToo = append(s.heldToo, needyOne{workspace: w, asked: r.Asked, had: had})
+		}
+	}
+	s.heldToo.arrange()
+}
+
+// inNeed tells whether a workspace has had less than half of what it asks for, for
+// some time, and not next to nothing.
+func (s *Sharer) inNeed(now identifier.Instant, w identifier.Workspace, r Rates, had float64) bool {
+	if float64(r.Asked) <= 2*had || had < cutOff*min(s.level, s.capacity) {
 		delete(s.needy, w)
-		return
+		return false
 	}
 	since, known := s.needy[w]
 	if !known {
 		s.needy[w] = now
-		return
-	}
-	if now.Sub(since) >= needyAfter {
-		s.kept = append(s.kept, needyOne{workspace: w, asked: r.Asked, had: had})
-	}
-}
-
-// hadIfFree returns what a workspace has, or is allowed if it is held back: what it
-// lacks of that is no reason to hold back others, who would hold it back in turn.
-func (s *Sharer) hadIfFree(w identifier.Workspace, r Rates) int {
-	limit, limited := s.limits[w]
-	if _, held := s.parts[w]; held && limited {
-		return max(r.had(), int(limit))
+		return false
 	}
-	return r.had()
+	return now.Sub(since) >= needyAfter
 }
--- a/sharer/needy.go
+++ b/sharer/needy.go
@@ -12,10 +12,10 @@
 	workspace identifier.Workspace
 	// asked and had are rates, in tokens a second.
 	asked int
-	had   int
-	// least and second are the one that has least among this and all that ask for
+	had   float64
+	// lowest and second are the one that has least among this and all that ask for
 	// more, and the least of the others among them. Invariant: set by arrange.
-	least  *needyOne
+	lowest *needyOne
 	second *needyOne
 }
 
@@ -34,24 +34,23 @@
 		case second == nil || own.had < second.had:
 			second = own
 		}
-		n[i].least, n[i].second = least, second
+		n[i].lowest, n[i].second = least, second
 	}
 }
 
-// allowed returns what workspace w with some rates may be given, in tokens a second,
-// for the sake of needy ones that ask for as much or nearly so, and infinity if
-// there are none.
-func (n needyOnes) allowed(w identifier.Workspace, own Rates) float64 {
+// least returns the least that others have which ask for as much as workspace w has,
+// or nearly so, in tokens a second, and infinity if there are none.
+func (n needyOnes) least(w identifier.Workspace, own Rates) float64 {
 	count := sort.Search(len(n), func(i int) bool { return comparable*n[i].asked < own.Given })
 	if count == 0 {
 		return math.Inf(1)
 	}
-	found := n[count-1].least
+	found := n[count-1].lowest
 	if found.workspace == w {
 		found = n[count-1].second
 	}
 	if found == nil {
 		return math.Inf(1)
 	}
-	return lead * float64(max(1, found.had))
+	return found.had
 }
--- a/sharer/rates.go
+++ b/sharer/rates.go
@@ -6,21 +6,24 @@
 type Rates struct {
 	_     struct{} `cbor:",toarray"`
 	Asked int
-	// Given is what was sent to targets, and Begun the part of it that they have
-	// begun to answer.
+	// Given is what was sent to targets, and Whole what callers have got answers
+	// for, whole.
 	Given int
-	Begun int
+	Whole int
 	// Left is the part of what was asked that routers short of processor time have
 	// left to others.
 	Left int
+	// Admitted is the part of what was asked, and not left to others, that was not
+	// held back.
+	Admitted int
 }
 
 // had returns what the workspace counts as having when others are compared with
-// it. A router that is short of processor time sends requests that no target begins
-// in time, so that only what was begun counts there.
+// it. A router that is short of processor time sends requests whose answers do not
+// reach their callers in time, so that only whole answers count there.
 func (r Rates) had() int {
 	if r.Left > r.Asked/leftPart {
-		return r.Begun
+		return r.Whole
 	}
 	return r.Given
 }
@@ -34,12 +37,13 @@
 
 // Plus returns the sum of rates and sign times others, which is not negative.
 func (r Rates) Plus(o Rates, sign int) Rates {
-	return Rates{Asked: max(0, r.Asked+sign*o.Asked), Given: max(0, r.Given+sign*o.Given), Begun: max(0, r.Begun+sign*o.Begun), Left: max(0, r.Left+sign*o.Left)}
+	return Rates{Asked: max(0, r.Asked+sign*o.Asked), Given: max(0, r.Given+sign*o.Given), Whole: max(0, r.Whole+sign*o.Whole), Left: max(0, r.Left+sign*o.Left),
+		Admitted: max(0, r.Admitted+sign*o.Admitted)}
 }
 
 // Check reports whether decoded rates are well formed.
 func (r Rates) Check() error {
-	if r.Asked < 0 || r.Given < 0 || r.Begun < 0 || r.Left < 0 {
+	if r.Asked < 0 || r.Given < 0 || r.Whole < 0 || r.Left < 0 || r.Admitted < 0 {
 		return errors.Errorf("rates %+v: one is negative", r)
 	}
 	return nil
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -26,14 +26,16 @@
 	needy map[identifier.Workspace]identifier.Instant
 	// kept are those for which that has lasted, with what they have.
 	kept needyOnes
-	// limits are what workspaces are allowed for the sake of needy ones, in tokens a
-	// second.
+	// heldToo are those that are held back themselves.
+	heldToo needyOnes
+	// limits are the least that needy ones have with which a workspace is compared,
+	// in tokens a second.
 	limits map[identifier.Workspace]float64
 	// parts are what is admitted of workspaces that are held back, below 1.
 	parts map[identifier.Workspace]float64
 }
 
-type usage struct{ asked, given, begun, left rate }
+type usage struct{ asked, admitted, given, whole, left rate }
 
 const (
 	// othersLife is how long what others said counts.
@@ -53,7 +55,9 @@
 
 // Asked notes that workspace w asks for tokens.
 func (s *Sharer) Asked(now identifier.Instant, w identifier.Workspace, tokens int) {
-	s.usage(w).asked.add(now, float64(tokens))
+	u := s.usage(w)
+	u.asked.add(now, float64(tokens))
+	u.admitted.add(now, s.part(now, w)*float64(tokens))
 }
 
 // Given notes that a request of workspace w for tokens was sent to a target.
@@ -61,16 +65,18 @@
 	s.usage(w).given.add(now, float64(tokens))
 }
 
-// Begun notes that a target has begun to answer a request of workspace w for
-// tokens.
-func (s *Sharer) Begun(now identifier.Instant, w identifier.Workspace, tokens int) {
-	s.usage(w).begun.add(now, float64(tokens))
+// Whole notes that the caller of a request of workspace w for tokens has got its
+// answer whole.
+func (s *Sharer) Whole(now identifier.Instant, w identifier.Workspace, tokens int) {
+	s.usage(w).whole.add(now, float64(tokens))
 }
 
 // Left notes that a request of workspace w for tokens was left to other routers for
 // want of processor time.
 func (s *Sharer) Left(now identifier.Instant, w identifier.Workspace, tokens int) {
-	s.usage(w).left.add(now, float64(tokens))
+	u := s.usage(w)
+	u.left.add(now, float64(tokens))
+	u.admitted.add(now, -s.part(now, w)*float64(tokens))
 }
 
 func (s *Sharer) usage(w identifier.Workspace) *usage {
@@ -83,7 +89,8 @@
 }
 
 func (u *usage) rates(now identifier.Instant) Rates {
-	return Rates{Asked: int(u.asked.perSecond(now)), Given: int(u.given.perSecond(now)), Begun: int(u.begun.perSecond(now)), Left: int(u.left.perSecond(now))}
+	return Rates{Asked: int(u.asked.perSecond(now)), Given: int(u.given.perSecond(now)), Whole: int(u.whole.perSecond(now)), Left: int(u.left.perSecond(now)),
+		Admitted: max(0, int(u.admitted.perSecond(now)))}
 }
 
 // Own returns the rates that this router has seen itself, for its peers.
@@ -135,10 +142,6 @@
 
 // work finds the level at which the shares of all workspaces fill the capacity.
 func (s *Sharer) work(now identifier.Instant) {
-	elapsed := workEvery
-	if s.worked != 0 {
-		elapsed = now.Sub(s.worked)
-	}
 	s.worked = now
 	if now.Sub(s.heard) > othersLife {
 		s.others = nil
@@ -147,16 +150,14 @@
 	if s.capacity <= 0 {
 		return
 	}
-	s.kept = s.kept[:0]
 	totals := s.totals(now)
 	asked := make([]float64, 0, len(totals))
-	for w, r := range totals {
+	for _, r := range totals {
 		asked = append(asked, float64(r.Asked))
-		s.noteNeed(now, w, r)
 	}
 	s.level = Fill(asked, s.capacity)
-	s.kept.arrange()
-	s.holdBack(elapsed, totals)
+	s.noteNeeds(now, totals)
+	s.holdBack(totals)
 }
 
 // totals returns the rates of all workspaces, and forgets the needy ones among those
