--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -148,6 +148,8 @@
 	}
 	s.level = math.Inf(1)
 	if s.capacity <= 0 {
+		clear(s.parts)
+		clear(s.limits)
 		return
 	}
 	totals := s.totals(now)
--- a/sharer/sharer_test.go
+++ b/sharer/sharer_test.go
@@ -151,6 +151,18 @@
 	g.Expect(got["big"]).To(BeNumerically(">", got["tail"]))
 }
 
+// Once a configuration sets no limit any more, nobody is held back.
+func TestNobodyIsHeldBackOnceThereIsNoLimit(t *testing.T) {
+	g := NewWithT(t)
+	s := New()
+	s.SetCapacity(25e5)
+	admitted(s, map[identifier.Workspace]Rates{"held": whole(4_800_000, 300_000), "a": {Asked: 4_500_000}}, 1)
+	end := (settle + 5) * second
+	g.Expect(s.Admits(end, "a")).To(BeNumerically("<", 1))
+	s.SetCapacity(0)
+	g.Expect(s.Admits(end+second, "a")).To(Equal(1.0))
+}
+
 // Workspaces that all have alike hold back nobody, however much more they ask for:
 // those held back would count as needy themselves, and hold back others.
 func TestThoseWhoHaveAlikeHoldBackNobody(t *testing.T) {
