--- a/cmd/buckthorndrum/main_test.go
+++ b/cmd/buckthorndrum/main_test.go
@@ -33,6 +33,9 @@
 		{"check -boot ../../platform/testdata/config.json", exitSettings, []string{"config.json", "field node_name"}},
 		{"check -operator-config ../../platform/testdata/settings.conf", exitSettings, []string{"settings.conf", "decode configuration"}},
 		{"platform -boot testdata/none", exitSettings, []string{"testdata/none"}},
+		{"explain twice ../../explainer/testdata/router_1.log", exitOK, []string{"request twice", "cause: The answer of target t3 broke off"}},
+		{"explain twice", exitUsage, []string{"log file"}},
+		{"explain twice testdata/none.log", exitFailure, []string{"none.log"}},
 		{"load -profile none", exitUsage, []string{"none"}},
 	} {
 		t.Run(tc.line, func(t *testing.T) {
--- /dev/null
+++ b/explainer/explainer_test.go
@@ -0,0 +1,106 @@
+package explainer
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"buckthorndrum/identifier"
+)
+
+var logs = []string{"testdata/router_1.log", "testdata/router_2.log"}
+
+func causes(t *testing.T, id identifier.Request) string {
+	t.Helper()
+	h, err := Read(id, logs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return strings.Join(h.Causes(), "\n")
+}
+
+// Each way in which a request ends has its cause in one sentence.
+func TestCauses(t *testing.T) {
+	for id, want := range map[identifier.Request]string{
+		"plain":  "It was answered whole by target t1.",
+		"busy":   "The soonest target was expected to need 610ms to a first token, 480ms were allowed; it was not run.",
+		"share":  "Its workspace had had 2.0 times its share, so that a first token was allowed 240ms only, and no target with room for it was expected to be that soon (soonest of all 82ms); it was not run.",
+		"held":   "Its workspace was held back for the sake of another that was given less than half of what it asked for (standing 0.80); it was not run.",
+		"stale":  "Its router had no proof that its configuration was the newest (the last one 3.2s old), as it had lost the store at 10:00:05.000; it was not run.",
+		"ticket": "Target t2 had it and gave no whole answer (read answer at 10.0.0.9:80: EOF); it may have run, so it was not sent again. Others at this target within 2s: 1 answered, 1 unknown.",
+		"twice":  "The answer of target t3 broke off after it had begun (read answer at 10.0.0.3:80: connection reset by peer), so the caller's was broken off too, not to look whole.",
+		"gone":   "Its caller left when its time limit had passed, after 600ms; target t2 had it and had not answered, so it may have run.",
+		"late":   "Target t2 had it and gave no whole answer before the time limit passed, after 600ms; it may have run, so it was not sent again.",
+		"stops":  "Its router stopped and could wait no longer; target t2 had it and had not answered whole, so it may have run.",
+		"unsent": "Its router stopped and could wait no longer; none of its 0 sendings had been taken by a target, so it was not run.",
+		"denied": "It was turned away for what it asked: The key is not valid.",
+		"killed": "Its router wrote of it but not of its end: it was killed with the request in hand, or it still has it.",
+		"none":   "No router wrote of it. They left out 40 lines, and it may be among these.",
+	} {
+		t.Run(string(id), func(t *testing.T) {
+			NewWithT(t).Expect(causes(t, id)).To(Equal(want))
+		})
+	}
+}
+
+// A request that came to two routers has two ends, in order of time.
+func TestARequestThatCameTwice(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(causes(t, "short")).To(Equal("Its router was short of processor time since 10:00:03.000, and left it to others; it was not run.\n" +
+		"It was answered whole by target t1."))
+}
+
+// The account is as docs/OPERATIONS.md shows it.
+func TestWrite(t *testing.T) {
+	g := NewWithT(t)
+	h, err := Read("twice", logs)
+	g.Expect(err).NotTo(HaveOccurred())
+	var out bytes.Buffer
+	g.Expect(h.Write(&out)).To(Succeed())
+	want, err := os.ReadFile("testdata/twice.txt")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(out.String()).To(Equal(string(want)))
+}
+
+// Lines that are no lines of a log, too long, or cut off by the end of the file do no
+// harm to the others.
+func TestBrokenLogs(t *testing.T) {
+	g := NewWithT(t)
+	whole, err := os.ReadFile(logs[0])
+	g.Expect(err).NotTo(HaveOccurred())
+	file := filepath.Join(t.TempDir(), "router.log")
+	text := strings.Repeat("x", 3*longestLine) + "\n{]\n" + string(whole) + `{"ts":"2026-03-01T10:00:15Z","msg":"request en`
+	g.Expect(os.WriteFile(file, []byte(text), 0o600)).To(Succeed())
+	h, err := Read("plain", []string{file})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(h.Causes()).To(Equal([]string{"It was answered whole by target t1."}))
+	_, err = Read("plain", []string{file + ".none"})
+	g.Expect(err).To(MatchError(ContainSubstring("router.log.none")))
+}
+
+func FuzzParse(f *testing.F) {
+	raw, err := os.ReadFile(logs[0])
+	if err != nil {
+		f.Fatal(err)
+	}
+	for _, line := range bytes.Split(raw, []byte("\n")) {
+		f.Add(line)
+	}
+	f.Fuzz(func(t *testing.T, raw []byte) {
+		l, ok := parse(raw, "file")
+		if !ok {
+			return
+		}
+		h := &History{Request: l.Request, Lines: []Line{l}}
+		if len(h.Causes()) != 1 {
+			t.Fatalf("%d causes for one line", len(h.Causes()))
+		}
+		if err := h.Write(&bytes.Buffer{}); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
