--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -113,7 +113,7 @@
 // relied on, and is not about to end.
 func (f *Forwarder) Ready(now identifier.Instant) bool {
 	s := f.board.snapshot.Load()
-	return s != nil && !f.board.stopping.Load() && !f.strain.high() && f.fresh(now)
+	return s != nil && !f.board.stopping.Load() && !f.strain.high() && f.fresh(now, f.proof())
 }
 
 // sweepEvery is how often what has grown old is dropped.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -106,15 +106,16 @@
 // admit finds the route and the workspace of a request in the configuration in
 // force. It is called again before each sending.
 func (f *Forwarder) admit(c *call) *ending {
+	proved := f.proof()
 	s := f.board.snapshot.Load()
 	if s == nil {
 		return &ending{status: http.StatusServiceUnavailable, reason: "There is no configuration yet.", retryAfter: time.Second}
 	}
 	now := clocker.Now()
-	c.revision, c.proofAge = s.Revision, now.Sub(identifier.Instant(f.board.proved.Load()))
+	c.revision, c.proofAge = s.Revision, now.Sub(proved)
 	route := s.Match(c.r.Host, path(c.r))
 	if route == nil {
-		if !f.fresh(now) {
+		if !f.fresh(now, proved) {
 			return stale()
 		}
 		return &ending{status: http.StatusNotFound, reason: "There is no such route."}
@@ -124,7 +125,7 @@
 		c.workspace = ""
 		return nil
 	}
-	if !f.fresh(now) {
+	if !f.fresh(now, proved) {
 		return stale()
 	}
 	w, ok := s.WorkspaceOf(c.facts.Key)
--- a/forwarder/summary.go
+++ b/forwarder/summary.go
@@ -89,16 +89,22 @@
 	f.board.sharer.Heard(now, others.Rates)
 }
 
-// Status returns how far this router has followed the store.
+// Status returns how far this router has followed the store. The proof is read first: it
+// may be of a later position than one that was read before it (see spec/proof.pml).
 func (f *Forwarder) Status(now identifier.Instant) Status {
-	return Status{Position: f.board.position.Load(), ProofAge: f.ProofAge(now)}
+	age := f.ProofAge(now)
+	return Status{Position: f.board.position.Load(), ProofAge: age}
 }
 
 // ProofAge returns how old the proof is that this router knows all changes.
 func (f *Forwarder) ProofAge(now identifier.Instant) time.Duration {
-	return now.Sub(identifier.Instant(f.board.proved.Load()))
+	return now.Sub(f.proof())
 }
 
+// proof returns the instant at which this router is known to have had the newest
+// configuration, zero for none.
+func (f *Forwarder) proof() identifier.Instant { return identifier.Instant(f.board.proved.Load()) }
+
 // Prove notes that at that instant the store had no change after a position that
 // this router does not know.
 func (f *Forwarder) Prove(at identifier.Instant, position int64) {
@@ -130,11 +136,9 @@
 // not.
 func (f *Forwarder) Behind() <-chan int64 { return f.behind }
 
-// fresh tells whether a key may still be relied on.
-func (f *Forwarder) fresh(now identifier.Instant) bool {
+// fresh tells whether a key may still be relied on, by the proof at an instant. What it is
+// looked up in is to be read after that proof (see spec/proof.pml).
+func (f *Forwarder) fresh(now, proved identifier.Instant) bool {
 	age := f.board.tunables.Load().ProofAge
-	if age <= 0 {
-		return true
-	}
-	return f.board.proved.Load() > 0 && f.ProofAge(now) <= age
+	return age <= 0 || proved > 0 && now.Sub(proved) <= age
 }
