--- a/forwarder/account.go
+++ b/forwarder/account.go
@@ -44,7 +44,7 @@
 // ended writes a request's line and counts it.
 func (f *Forwarder) ended(c *call) {
 	now := clocker.Coarse()
-	how := c.ending()
+	how := c.ending(f.calls.Err() != nil)
 	f.metrics.endings.WithLabelValues(how).Inc()
 	f.metrics.whole.Observe(now.Sub(c.arrived).Seconds())
 	if c.first > 0 {
@@ -87,10 +87,11 @@
 	return nil
 }
 
-// ending returns how a request ended, as counted.
-func (c *call) ending() string {
+// ending returns how a request ended, as counted, at a router that may have ended all
+// requests in hand.
+func (c *call) ending(stopped bool) string {
 	switch {
-	case c.r.Context().Err() != nil:
+	case c.r.Context().Err() != nil && !stopped:
 		return endLeft
 	case c.reason != "" && c.begun():
 		return endBroken
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -101,7 +101,7 @@
 	}
 	c.note(err)
 	if ctx.Err() != nil {
-		return f.truth(c, &ending{status: http.StatusGatewayTimeout, reason: "The time limit has passed."})
+		return f.outOfTime(c)
 	}
 	if errors.Is(err, exchanger.ErrUnwanted) {
 		return f.truth(c, &ending{status: http.StatusServiceUnavailable, reason: "The caller has left, or the request would be sent too late.", retryAfter: minRetryAfter})
@@ -143,6 +143,16 @@
 	return c.route.Repeatable || (c.route.Stream && c.route.Resumable)
 }
 
+// outOfTime is how a request ends that there is no time left for: its own limit has
+// passed, or the router stops.
+func (f *Forwarder) outOfTime(c *call) *ending {
+	e := &ending{status: http.StatusGatewayTimeout, reason: "The time limit has passed."}
+	if f.calls.Err() != nil {
+		e.reason = "This router stops."
+	}
+	return f.truth(c, e)
+}
+
 // truth makes sure that nobody is told "not run" of a request that may have run.
 func (f *Forwarder) truth(c *call, e *ending) *ending {
 	if !c.mayHaveRun {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -98,7 +98,11 @@
 	log     *zap.Logger
 	ctx     context.Context
 	cancel  context.CancelFunc
-	behind  chan int64
+	// calls is the context of all requests in hand. endCalls ends it, so that each is
+	// answered at once with what is known of it.
+	calls    context.Context
+	endCalls context.CancelFunc
+	behind   chan int64
 	// done is closed when the forwarder has stopped.
 	done chan struct{}
 }
@@ -125,6 +129,7 @@
 		done:    make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.calls, f.endCalls = context.WithCancel(context.Background())
 	f.listener = l
 	f.ledger.most = cfg.MaxHeld
 	f.metrics = newMetrics(f)
@@ -133,6 +138,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		MaxHeaderBytes:    maxCallerHead,
 		ConnState:         f.callers.Note,
+		BaseContext:       func(net.Listener) context.Context { return f.calls },
 		ConnContext:       acceptor.Remember,
 		ErrorLog:          zap.NewStdLog(f.log),
 	}
@@ -185,8 +191,13 @@
 // callers are sent elsewhere first.
 const lingerNew = 3 * time.Second
 
+// lastAnswers is how long a stopping router takes to answer the requests that it cannot
+// wait for any longer.
+const lastAnswers = 200 * time.Millisecond
+
 // Drain says that the router is not ready, goes on serving while callers are
-// sent elsewhere, waits for the requests in hand until ctx ends, and stops.
+// sent elsewhere, waits for the requests in hand until ctx ends, and stops. Callers whose
+// requests are still in hand then are told what is known of them.
 func (f *Forwarder) Drain(ctx context.Context) error {
 	f.board.stopping.Store(true)
 	f.log.Info("stopping")
@@ -198,13 +209,27 @@
 		f.log.Info("callers' port was closed before", reporter.Error(err))
 	}
 	err := f.callers.Leave(ctx)
+	if err != nil {
+		f.endInHand()
+	}
 	f.Stop()
 	return errors.Wrap(err, "wait for requests in hand")
 }
 
+// endInHand ends the requests in hand, and waits until their callers have their answers.
+func (f *Forwarder) endInHand() {
+	f.endCalls()
+	ctx, cancel := context.WithTimeout(context.Background(), lastAnswers)
+	defer cancel()
+	if err := f.callers.Leave(ctx); err != nil {
+		f.log.Warn("requests in hand are cut off", reporter.Error(err))
+	}
+}
+
 // Stop ends the forwarder at once.
 func (f *Forwarder) Stop() {
 	f.cancel()
+	f.endCalls()
 	_ = f.server.Close()
 	select {
 	case <-f.done:
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -326,6 +326,27 @@
 	g.Expect(f.Done()).To(BeClosed())
 }
 
+// A stopping router answers what it cannot wait for any longer, and the answer is true:
+// a ticket that a target has may have been issued.
+func TestStopAnswersWhatItCannotWaitFor(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	t.Cleanup(func() { close(release) })
+	f := newFleet(t, func(net.Conn, *http.Request) bool {
+		<-release
+		return false
+	})
+	answers := make(chan got, 1)
+	go func() { answers <- f.send(f.request(http.MethodPost, "/ticket/1", "x")) }()
+	eventually(t, "request arrives", func() bool { return len(f.seen()) == 1 })
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	g.Expect(f.Drain(ctx)).To(MatchError(ContainSubstring("1 connections are left")))
+	a := <-answers
+	g.Expect(a.status).To(Equal(http.StatusGatewayTimeout))
+	g.Expect(a.body).To(Equal("This router stops.\n"))
+}
+
 func TestTooManyCallersAreAskedToLeave(t *testing.T) {
 	g := NewWithT(t)
 	cfg := testConfig(t)
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -69,8 +69,8 @@
 	if errors.Is(why, errOrder) {
 		return f.brokenOff(c, t, why.Error())
 	}
-	if c.r.Context().Err() == nil && ctx.Err() != nil {
-		return admitter.Left, f.truth(c, &ending{status: http.StatusGatewayTimeout, reason: "The time limit has passed."})
+	if f.calls.Err() != nil || c.r.Context().Err() == nil && ctx.Err() != nil {
+		return admitter.Left, f.outOfTime(c)
 	}
 	return admitter.Left, f.truth(c, &ending{status: http.StatusBadGateway, reason: "The caller has left."})
 }
