--- /dev/null
+++ b/forwarder/fuzz_test.go
@@ -0,0 +1,47 @@
+package forwarder
+
+import (
+	"bytes"
+	"testing"
+)
+
+// Events are the same however the bytes of a stream come, and nothing is lost.
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\ndata: end\n\nrest"), byte(3))
+	f.Add([]byte("\n\n\r\n\n"), byte(1))
+	f.Fuzz(func(t *testing.T, raw []byte, step byte) {
+		whole := &pending{held: &holding{ledger: &ledger{}}}
+		parts := &pending{held: &holding{ledger: &ledger{}}}
+		if err := whole.add(raw); err != nil {
+			t.Fatal(err)
+		}
+		var want, got [][]byte
+		for e := whole.next(); e != nil; e = whole.next() {
+			want = append(want, bytes.Clone(e))
+			_, _ = eventID(e)
+			_ = carries(e)
+		}
+		for rest := raw; len(rest) > 0; {
+			n := min(len(rest), 1+int(step))
+			if err := parts.add(rest[:n]); err != nil {
+				t.Fatal(err)
+			}
+			rest = rest[n:]
+			for e := parts.next(); e != nil; e = parts.next() {
+				got = append(got, bytes.Clone(e))
+			}
+			parts.compact()
+		}
+		if len(got) != len(want) {
+			t.Fatalf("%d events in parts of %d, %d at once: %q, %q", len(got), 1+int(step), len(want), got, want)
+		}
+		for i := range got {
+			if !bytes.Equal(got[i], want[i]) {
+				t.Fatalf("event %d is %q in parts of %d, %q at once", i, got[i], 1+int(step), want[i])
+			}
+		}
+		if !bytes.Equal(append(bytes.Join(got, nil), parts.data[parts.taken:]...), raw) {
+			t.Fatalf("%q was read, %q is left", raw, parts.data)
+		}
+	})
+}
