--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -162,7 +162,8 @@
 		}
 		return e
 	}
-	if e.status == http.StatusServiceUnavailable || e.status == http.StatusTooManyRequests {
+	switch e.status {
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests, http.StatusUnauthorized, http.StatusNotFound:
 		e.status = http.StatusBadGateway
 		e.retryAfter = 0
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -287,6 +287,20 @@
 	g.Expect(f.seen()).To(HaveLen(1))
 }
 
+// A key that is withdrawn after its request may have run is no reason to say that it
+// was turned away (soak of processes, seed 1).
+func TestWithdrawnKeyDoesNotHideWhatMayHaveRun(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t)
+	lose := func(net.Conn, *http.Request) bool {
+		f.Adopt(NewSnapshot(2, Limits{}, testRoutes(), []Pool{{ID: testPool}}, nil))
+		return false
+	}
+	f.addTarget("a", lose)
+	f.addTarget("b", lose)
+	g.Expect(f.send(f.request(http.MethodGet, "/lookup/1", "")).status).To(Equal(http.StatusBadGateway))
+}
+
 func TestRevisionsOnlyRise(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t, whole)
