--- a/explainer/doc.go
+++ b/explainer/doc.go
@@ -2,6 +2,6 @@
 // came, what was decided and on which grounds, what changed meanwhile, and the cause of
 // its end in one sentence.
 //
-// Reading is kept apart from deciding: [Reader] takes in log files, [History.Causes] is
+// Reading is kept apart from deciding: [Read] takes in log files, [History.Causes] is
 // a function of what it found.
 package explainer
