admitter: a request that outlives its target's boot takes nothing away

A request sent to one boot of a target and ended after the list named the next one (or after its entry had gone and come back) was taken off what is under way at the next, which so fell below zero and stayed there. Cause: a sending knew its target by name, and the name's state may be of another boot by then. Change: a sending holds the state of the boot that it went to.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -162,8 +162,9 @@
 
 // Sent is a request that was sent to a target, to be ended with Ended.
 type Sent struct {
-	target identifier.Target
-	load   Load
+	// state is of the boot that it was sent to, nil if that was not listed any more.
+	state *state
+	load  Load
 	// ahead is what the target had to read for the request to begin, and at when
 	// it was sent.
 	ahead int
@@ -175,9 +176,9 @@
 func (a *Admitter) Send(now identifier.Instant, q Ask, c Choice) *Sent {
 	t := a.targets[c.Target]
 	if t == nil {
-		return &Sent{target: c.Target, at: now}
+		return &Sent{at: now}
 	}
-	s := &Sent{target: c.Target, at: now, load: Load{Running: 1, Unread: c.Unread, Memory: q.Prompt + q.Output}}
+	s := &Sent{state: t, at: now, load: Load{Running: 1, Unread: c.Unread, Memory: q.Prompt + q.Output}}
 	s.ahead = t.load().Unread + c.Unread
 	t.own = t.own.plus(s.load)
 	t.tried = now
@@ -189,7 +190,7 @@
 
 // Began notes that the first part of the answer has come.
 func (a *Admitter) Began(now identifier.Instant, s *Sent) {
-	t := a.targets[s.target]
+	t := s.state
 	if t == nil || s.read {
 		return
 	}
@@ -231,7 +232,7 @@
 
 // Ended notes how a request ended.
 func (a *Admitter) Ended(now identifier.Instant, s *Sent, r Result) {
-	t := a.targets[s.target]
+	t := s.state
 	if t == nil {
 		return
 	}
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -235,3 +235,17 @@
 		g.Expect(count[id]).To(Equal(4))
 	}
 }
+
+// A request that ends after its target has started anew takes nothing away from what is
+// under way there: a router with less than nothing under way is not heard by its peers.
+func TestRequestThatOutlivesItsTargetsBootTakesNothingAway(t *testing.T) {
+	g := NewWithT(t)
+	a := New()
+	list := func(start int64) { a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Start: start}}) }
+	list(1)
+	sent := a.Send(second, ask(1), a.Choose(second, ask(1)))
+	list(2)
+	a.Began(second, sent)
+	a.Ended(second, sent, Answered)
+	g.Expect(a.Own()).To(BeEmpty())
+}
