--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -40,10 +40,16 @@
 	NoTarget Refusal = "no target takes work"
 	// Busy means that every target would keep it waiting beyond its limit.
 	Busy Refusal = "targets are busy"
+	// Pausing means that no target of the pool takes work, and that the first that
+	// will has asked for a pause.
+	Pausing Refusal = "targets asked for a pause"
 	// BeyondShare means that its workspace has too much more than others.
 	BeyondShare Refusal = "workspace is beyond its share"
 )
 
+// noTargetWait is when a request may come back that found no target.
+const noTargetWait = 2 * time.Second
+
 // Choice is where a request goes, or why it goes nowhere.
 type Choice struct {
 	Target  identifier.Target
@@ -63,13 +69,16 @@
 	heard identifier.Instant
 	// forgot is when parts that are no longer used were dropped last.
 	forgot identifier.Instant
+	// left holds the boots that have said that they leave and are not listed any more,
+	// with when they said so, as an entry may come back.
+	left map[boot]identifier.Instant
 	// options is the room for the targets that one choice weighs.
 	options []option
 }
 
 // New returns an admitter without targets.
 func New() *Admitter {
-	return &Admitter{targets: map[identifier.Target]*state{}, pools: map[identifier.Pool]*pool{}}
+	return &Admitter{targets: map[identifier.Target]*state{}, pools: map[identifier.Pool]*pool{}, left: map[boot]identifier.Instant{}}
 }
 
 // SetTargets replaces the list of targets. What was learned of those that stay
@@ -86,10 +95,12 @@
 			usual[t.Pool] = a.pools[t.Pool].usualPace()
 		}
 		s := a.targets[t.ID]
-		if s == nil || s.Start != t.Start {
+		if s == nil || s.boot() != t.boot() {
 			s = &state{parts: held{}, pace: usual[t.Pool]}
+			a.recall(t, s)
 		}
 		s.Target = t
+		s.permit.List(t.Leaving)
 		next[t.ID] = s
 		p.targets = append(p.targets, s)
 	}
@@ -99,6 +110,7 @@
 		}
 		p.ring.replace(staying(p.targets))
 	}
+	a.rememberLeft(next)
 	a.targets, a.pools = next, pools
 }
 
@@ -117,13 +129,19 @@
 func (a *Admitter) Choose(now identifier.Instant, q Ask) Choice {
 	p := a.pools[q.Pool]
 	if p == nil {
-		return Choice{Refused: NoTarget, Wait: shunMost}
+		return Choice{Refused: NoTarget, Wait: noTargetWait}
 	}
 	p.summarise(now)
+	c := Choice{}
 	if q.Model == "" {
-		return p.plain(now, q)
+		c = p.plain(now, q)
+	} else {
+		c = a.engine(now, p, q)
+	}
+	if c.Refused == NoTarget {
+		return p.closed(now)
 	}
-	return a.engine(now, p, q)
+	return c
 }
 
 func contains(list []identifier.Target, t identifier.Target) bool {
@@ -143,7 +161,7 @@
 func (p *pool) plain(now identifier.Instant, q Ask) Choice {
 	list := p.pickable(now, q.Avoid)
 	if len(list) == 0 {
-		return Choice{Refused: NoTarget, Wait: shunMost}
+		return Choice{Refused: NoTarget}
 	}
 	best, least := list[0], 0.0
 	for i, t := range list {
@@ -244,7 +262,7 @@
 	case Failed:
 		t.answered(true)
 	case Broken:
-		t.broke(now)
+		t.permit.Break(now)
 	case Left:
 	}
 }
@@ -288,6 +306,7 @@
 		return
 	}
 	a.forgot = now
+	a.forgetLeft(now)
 	for _, t := range a.targets {
 		t.parts.forget(now)
 	}
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -135,7 +135,7 @@
 	home := a.Choose(second, ask(1)).Target
 	a.Ended(second, a.Send(second, ask(1), a.Choose(second, ask(1))), Broken)
 	g.Expect(a.Choose(second, ask(1)).Target).NotTo(Equal(home))
-	g.Expect(a.Choose(second.Add(shunFirst), ask(1)).Target).To(Equal(home))
+	g.Expect(a.Choose(a.targets[home].decide(second).Until, ask(1)).Target).To(Equal(home))
 }
 
 // A target that fails part of its requests with a good health is found from its
--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -52,7 +52,7 @@
 	keys := chainKeys(q.Model, q.Chain)
 	options := a.homes(now, p, q, keys)
 	if len(options) == 0 {
-		return Choice{Refused: NoTarget, Wait: shunMost}
+		return Choice{Refused: NoTarget}
 	}
 	near := min(len(options), firstHomes)
 	spare := q.Within || p.ahead <= spareShare*q.Limit/100
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -81,14 +81,17 @@
 	return t.takesWork(now) && !contains(avoid, t.ID)
 }
 
-// sound tells whether target t fails no more than the others, or is to be tried
-// again.
+// sound tells whether target t is as good as the others: no peer says that it leaves,
+// and it fails no more than they do, or is to be tried again.
 func (p *pool) sound(now identifier.Instant, t *state) bool {
+	if t.permit.Told(now) {
+		return false
+	}
 	return t.failing <= p.leastFailing+failMost || now.Sub(t.tried) > tryEvery
 }
 
-// pickable returns the targets that a request may be given. Those that fail much
-// more than the others are among them only if there are no others.
+// pickable returns the targets that a request may be given. Those that are not sound
+// are among them only if there are no others.
 func (p *pool) pickable(now identifier.Instant, avoid []identifier.Target) []*state {
 	var all, sound []*state
 	for _, t := range p.targets {
--- a/admitter/target.go
+++ b/admitter/target.go
@@ -4,22 +4,35 @@
 	"time"
 
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 )
 
 // Target is what is known of one target from the platform.
 type Target struct {
 	ID   identifier.Target
 	Pool identifier.Pool
+	// Address is where it is reached, as host:port.
+	Address string
 	// Slots is how many requests it runs at once.
 	Slots int
 	// DataCentre is where it runs.
 	DataCentre identifier.DataCentre
 	// Leaving tells that it takes no new work.
 	Leaving bool
-	// Start changes when the target has started anew and holds nothing.
+	// Start changes when the target has started anew and holds nothing. Zero if it is
+	// not known.
 	Start int64
 }
 
+// boot is one run of a target. What is known of one says nothing about another.
+type boot struct {
+	id      identifier.Target
+	address string
+	start   int64
+}
+
+func (t Target) boot() boot { return boot{id: t.ID, address: t.Address, start: t.Start} }
+
 // Load is what one router has under way at one target.
 type Load struct {
 	_ struct{} `cbor:",toarray"`
@@ -44,10 +57,8 @@
 	others Load
 	parts  held
 	pace   pace
-	// shunned is until when it gets no work, and faults how many failures came in
-	// a row.
-	shunned identifier.Instant
-	faults  int
+	// permit tells whether it may be given work.
+	permit permitter.Permit
 	// failing is the smoothed share of answers that are failures.
 	failing float64
 	// tried is when a failing target was last given a request.
@@ -57,8 +68,13 @@
 	ahead time.Duration
 }
 
-// takesWork tells whether the target may be given work.
-func (t *state) takesWork(now identifier.Instant) bool { return !t.Leaving && now >= t.shunned }
+// decide tells whether the target may be given work.
+func (t *state) decide(now identifier.Instant) permitter.Decision {
+	return t.permit.At(now, t.own.Running)
+}
+
+// takesWork tells the same in one word.
+func (t *state) takesWork(now identifier.Instant) bool { return t.decide(now).Open() }
 
 // load returns what all routers have under way at the target.
 func (t *state) load() Load { return t.own.plus(t.others) }
@@ -109,10 +125,6 @@
 }
 
 const (
-	// shunFirst is for how long a target gets no work after a first failure of
-	// its connection, doubled with each further one up to shunMost.
-	shunFirst = 250 * time.Millisecond
-	shunMost  = 2 * time.Second
 	// failWeight is the weight of one answer in the share of failures.
 	failWeight = 0.1
 	// failMost is the share of failures above the pool's from which a target is
@@ -124,20 +136,10 @@
 
 // answered takes in that the target answered, with a failure or not.
 func (t *state) answered(failed bool) {
-	t.faults = 0
+	t.permit.Answered()
 	v := 0.0
 	if failed {
 		v = 1
 	}
 	t.failing += (v - t.failing) * failWeight
 }
-
-// broke takes in that a connection to the target failed.
-func (t *state) broke(now identifier.Instant) {
-	d := shunFirst
-	for n := 0; n < t.faults && d < shunMost; n++ {
-		d *= 2
-	}
-	t.faults++
-	t.shunned = max(t.shunned, now.Add(min(d, shunMost)))
-}
--- /dev/null
+++ b/admitter/word.go
@@ -0,0 +1,189 @@
+package admitter
+
+import (
+	"time"
+
+	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
+)
+
+// Word is what a target has said in an answer of the work that it wants.
+type Word struct {
+	// Leaving tells that it leaves.
+	Leaving bool
+	// Pause is for how long it wants no work, zero if it does not say.
+	Pause time.Duration
+}
+
+// News is what of a word was not known before.
+type News struct{ Leaving, Pausing bool }
+
+// Said takes in what a target has said in its answer to a request that was sent to it.
+// It is about the boot that the request went to. draw, from 0 to 1, spreads the returns
+// of many routers after a pause.
+func (a *Admitter) Said(now identifier.Instant, s *Sent, w Word, draw float64) News {
+	t := s.state
+	if t == nil {
+		return News{}
+	}
+	n := News{Leaving: w.Leaving && t.permit.Leave(now), Pausing: t.permit.Pause(now, w.Pause, draw)}
+	if n != (News{}) {
+		a.stale(t)
+	}
+	return n
+}
+
+// stale has the summary of a target's pool worked out anew.
+func (a *Admitter) stale(t *state) {
+	if p := a.pools[t.Pool]; p != nil {
+		p.worked = 0
+	}
+}
+
+// Permits decides whether a request that was chosen for a target may still be sent to
+// it, as it counts as under way there already.
+func (a *Admitter) Permits(now identifier.Instant, s *Sent) permitter.Decision {
+	t := s.state
+	if t == nil {
+		return permitter.Decision{}
+	}
+	return t.permit.At(now, t.own.Running-s.load.Running)
+}
+
+// Withheld counts the targets that are given no new work, by reason.
+func (a *Admitter) Withheld(now identifier.Instant) map[permitter.Reason]int {
+	counts := map[permitter.Reason]int{}
+	for _, t := range a.targets {
+		if d := t.decide(now); !d.Open() {
+			counts[d.Reason]++
+		}
+	}
+	return counts
+}
+
+// Closed is the refusal of requests for a pool, if no target of it takes work for a
+// time that is known. It refuses none otherwise.
+func (a *Admitter) Closed(now identifier.Instant, id identifier.Pool) Choice {
+	if p := a.pools[id]; p != nil {
+		return p.closed(now)
+	}
+	return Choice{}
+}
+
+// closed is the refusal of requests that no target of the pool may be given.
+func (p *pool) closed(now identifier.Instant) Choice {
+	c := Choice{Refused: NoTarget, Wait: noTargetWait}
+	soonest := identifier.Instant(0)
+	for _, t := range p.targets {
+		d := t.decide(now)
+		if d.Open() || d.Reason == permitter.Broken {
+			return c
+		}
+		if d.Until != 0 && (soonest == 0 || d.Until < soonest) {
+			soonest = d.Until
+		}
+	}
+	if soonest == 0 {
+		return c
+	}
+	return Choice{Refused: Pausing, Wait: soonest.Sub(now)}
+}
+
+// leftLife is how long it is remembered that a boot has said that it leaves which is
+// not listed any more.
+const leftLife = 10 * time.Minute
+
+// rememberLeft keeps what the targets that are not on the next list have said. Where
+// starts are not known an entry that comes back may be of the next one.
+func (a *Admitter) rememberLeft(next map[identifier.Target]*state) {
+	for id, t := range a.targets {
+		if since := t.permit.LeavingSince(); since != 0 && t.Start != 0 && next[id] != t {
+			a.left[t.boot()] = since
+		}
+	}
+}
+
+// recall gives a target back what its boot has said before its entry was gone.
+func (a *Admitter) recall(t Target, s *state) {
+	if since, known := a.left[t.boot()]; known {
+		s.permit.Leave(since)
+		delete(a.left, t.boot())
+	}
+}
+
+// forgetLeft drops the boots that left long ago.
+func (a *Admitter) forgetLeft(now identifier.Instant) {
+	for b, since := range a.left {
+		if now.Sub(since) > leftLife {
+			delete(a.left, b)
+		}
+	}
+}
+
+// Notice is what a router tells others of a target that has said to it that it leaves.
+type Notice struct {
+	_ struct{} `cbor:",toarray"`
+	// Start is the target's.
+	Start int64
+	// Age is how long ago it said so.
+	Age time.Duration
+}
+
+// maxNotices bounds the notices of one message. The oldest are left out: their targets
+// are listed as leaving soon.
+const maxNotices = 64
+
+// Notices returns those targets that have said to this router that they leave, and are
+// not listed so.
+func (a *Admitter) Notices(now identifier.Instant) Notices {
+	found := Notices{}
+	for id, t := range a.targets {
+		if since := t.permit.LeavingSince(); since != 0 && !t.permit.Listed() {
+			found.Add(id, Notice{Start: t.Start, Age: max(0, now.Sub(since))})
+		}
+	}
+	return found
+}
+
+// HeardNotices takes in what other routers were told. It returns the targets of which
+// that is new.
+func (a *Admitter) HeardNotices(now identifier.Instant, list Notices) []identifier.Target {
+	var fresh []identifier.Target
+	for id, n := range list {
+		t := a.targets[id]
+		if t == nil || t.Start != n.Start || n.Age > leftLife || t.permit.LeavingSince() != 0 || t.permit.Listed() {
+			continue
+		}
+		if t.permit.Tell(now) {
+			a.stale(t)
+			fresh = append(fresh, id)
+		}
+	}
+	return fresh
+}
+
+// Notices are what routers tell each other of targets that leave.
+type Notices map[identifier.Target]Notice
+
+// Add adds a notice. Of two of one target that of the later start counts, and of one
+// start the older. Beyond maxNotices the oldest is left out.
+func (l Notices) Add(id identifier.Target, n Notice) {
+	if old, is := l[id]; is && (old.Start > n.Start || old.Start == n.Start && old.Age >= n.Age) {
+		return
+	}
+	l[id] = n
+	if len(l) > maxNotices {
+		delete(l, l.oldest())
+	}
+}
+
+func (l Notices) oldest() identifier.Target {
+	var oldest identifier.Target
+	age := time.Duration(-1)
+	for id, n := range l {
+		if n.Age > age {
+			oldest, age = id, n.Age
+		}
+	}
+	return oldest
+}
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -19,14 +19,14 @@
 const maxHeld = 4 << 20
 
 // skip reads a short answer to its end, so that its connection can be used again.
-func skip(a *exchanger.Answer) {
+func (f *Forwarder) skip(t *chosen, a *exchanger.Answer) {
 	const most = 16 << 10
 	n, err := io.Copy(io.Discard, io.LimitReader(a.Body, most))
 	if err != nil || n == most {
 		a.Abort()
 		return
 	}
-	a.Keep()
+	f.keep(t, a)
 }
 
 // relay passes a target's answer on. The result is again if the caller has got
@@ -46,7 +46,7 @@
 		c.note(err)
 		return f.unanswered(ctx, c, t, "answer broke off")
 	}
-	a.Keep()
+	f.keep(t, a)
 	failed := a.Status >= http.StatusInternalServerError
 	if failed && c.repeatable() && c.runs < c.route.Attempts {
 		if e := f.again(c, t, "target failed"); e == nil {
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -32,13 +32,14 @@
 		return false, f.lost(ctx, c, t, err)
 	}
 	v := f.cfg.Dialect.Judge(a.Status, a.Header)
+	f.heed(t, v)
 	if v.NotRun || v.Moved {
-		skip(a)
+		f.skip(t, a)
 		result = admitter.Answered
 		if v.Moved {
 			result = admitter.Broken
 		}
-		return false, f.again(c, t, "target did not run it")
+		return false, f.notTaken(c, t)
 	}
 	c.mayHaveRun = true
 	c.runs++
@@ -74,6 +75,10 @@
 	if r == again {
 		r = admitter.Failed
 	}
+	if r == admitter.Failed && t.pauses {
+		// To ask for a pause is no failure.
+		r = admitter.Answered
+	}
 	f.metrics.sendings.WithLabelValues(r.String()).Inc()
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
@@ -83,6 +88,7 @@
 // faulted says what a fault of the connection tells of the target.
 func (f *Forwarder) faulted(ctx context.Context, err error) admitter.Result {
 	if ctx.Err() != nil || errors.Is(err, exchanger.ErrUnwanted) {
+		// Nothing was sent, or nobody waits: that tells nothing of the target.
 		return admitter.Left
 	}
 	var fault *exchanger.Fault
@@ -103,7 +109,7 @@
 	if ctx.Err() != nil {
 		return f.outOfTime(c)
 	}
-	if errors.Is(err, exchanger.ErrUnwanted) {
+	if errors.Is(err, exchanger.ErrUnwanted) && !t.withheld {
 		return f.truth(c, &ending{status: http.StatusServiceUnavailable, reason: "The caller has left, or the request would be sent too late.", retryAfter: minRetryAfter})
 	}
 	if fault != nil && !fault.Sent {
--- a/forwarder/board.go
+++ b/forwarder/board.go
@@ -30,6 +30,8 @@
 	sharer    *sharer.Sharer
 	addresses map[identifier.Target]string
 	budgets   map[identifier.Pool]*budget
+	// malformed holds the targets whose pauses could not be read, of those listed.
+	malformed map[identifier.Target]bool
 	// peers is how many routers there are besides this one.
 	peers int
 	// mostPeers is the most there were, since routers out of hearing use their
@@ -43,6 +45,7 @@
 		sharer:    sharer.New(),
 		addresses: map[identifier.Target]string{},
 		budgets:   map[identifier.Pool]*budget{},
+		malformed: map[identifier.Target]bool{},
 	}
 	b.tunables.Store(&t)
 	return b
@@ -80,11 +83,9 @@
 }
 
 // SetTargets replaces the list of targets.
-func (f *Forwarder) SetTargets(list []Target) {
-	plain := make([]admitter.Target, len(list))
+func (f *Forwarder) SetTargets(list []admitter.Target) {
 	addresses := make(map[identifier.Target]string, len(list))
-	for i, t := range list {
-		plain[i] = t.Target
+	for _, t := range list {
 		addresses[t.ID] = t.Address
 	}
 	f.board.mu.Lock()
@@ -92,10 +93,11 @@
 	for id, address := range f.board.addresses {
 		if addresses[id] == "" {
 			f.pool.Drop(address)
+			delete(f.board.malformed, id)
 		}
 	}
 	f.board.addresses = addresses
-	f.board.admitter.SetTargets(plain)
+	f.board.admitter.SetTargets(list)
 }
 
 // Targets returns the targets that are listed.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -202,6 +202,11 @@
 	sent    *admitter.Sent
 	// began tells that the target has begun to answer.
 	began bool
+	// withheld tells that the request was not sent, as the target was to be given no
+	// work any more when its turn came.
+	withheld bool
+	// pauses tells that the target has asked for a pause in its answer.
+	pauses bool
 }
 
 // draw returns a number from 0 to 1 that is the same for all choices of a request.
@@ -259,7 +264,10 @@
 
 // refused is the ending of a request for which no target has room.
 func refused(choice admitter.Choice) *ending {
-	after := min(max(choice.Wait, minRetryAfter), maxRetryAfter)
+	after := max(choice.Wait, minRetryAfter)
+	if choice.Refused != admitter.Pausing {
+		after = min(after, maxRetryAfter)
+	}
 	after += time.Duration(rand.Float64() * float64(after) / 2)
 	return &ending{status: http.StatusServiceUnavailable, reason: "All targets are busy.", retryAfter: after}
 }
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -6,6 +6,7 @@
 
 	"buckthorndrum/admitter"
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 )
 
 // Dialect reads and writes the headers that callers and targets use.
@@ -53,4 +54,9 @@
 	Moved bool
 	// Genuine tells that the answer is the target's own.
 	Genuine bool
+	// Leaving tells that the target leaves.
+	Leaving bool
+	// Pause is for how long it wants no work. It is read of an answer that turns the
+	// request away.
+	Pause permitter.Pause
 }
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -50,7 +50,7 @@
 		Body:       c.body,
 		ID:         string(c.facts.ID),
 		Repeatable: c.repeatable(),
-		Wanted:     c.wanted,
+		Wanted:     func() bool { return c.wanted() && f.permits(t) },
 	}
 }
 
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -8,6 +8,7 @@
 
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 )
 
 // metrics are the forwarder's measurements. No label takes a value from a caller.
@@ -15,6 +16,7 @@
 	registry *prometheus.Registry
 	endings  *prometheus.CounterVec
 	sendings *prometheus.CounterVec
+	words    *prometheus.CounterVec
 	first    prometheus.Histogram
 	whole    prometheus.Histogram
 }
@@ -28,15 +30,21 @@
 		registry: prometheus.NewRegistry(),
 		endings:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_requests_total", Help: "Requests ended, by how."}, []string{"ending"}),
 		sendings: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_sendings_total", Help: "Requests sent to targets, by result."}, []string{"result"}),
+		words:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_words_total", Help: "What targets said in answers of the work that they want."}, []string{"word"}),
 		first:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "buckthorndrum_forwarder_first_byte_seconds", Help: "Time from a request's arrival to the first part of its answer.", Buckets: buckets}),
 		whole:    prometheus.NewHistogram(prometheus.HistogramOpts{Name: "buckthorndrum_forwarder_request_seconds", Help: "Time from a request's arrival to its end.", Buckets: buckets}),
 	}
-	m.registry.MustRegister(m.endings, m.sendings, m.first, m.whole)
+	m.registry.MustRegister(m.endings, m.sendings, m.words, m.first, m.whole)
 	m.gauge("buckthorndrum_forwarder_config_revision", "Configuration revision in force.", func() float64 { return float64(f.Revision()) })
 	m.gauge("buckthorndrum_forwarder_proof_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
 		return clocker.Now().Sub(identifier.Instant(f.board.proved.Load())).Seconds()
 	})
 	m.gauge("buckthorndrum_forwarder_targets", "Targets listed.", func() float64 { return float64(len(f.Targets())) })
+	for _, r := range permitter.Reasons() {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "buckthorndrum_forwarder_targets_withheld", Help: "Targets that are given no new work.", ConstLabels: prometheus.Labels{"reason": string(r)},
+		}, func() float64 { return f.withheld(r) }))
+	}
 	m.gauge("buckthorndrum_forwarder_peers", "Other routers heard lately.", func() float64 {
 		f.board.mu.Lock()
 		defer f.board.mu.Unlock()
--- a/forwarder/snapshot.go
+++ b/forwarder/snapshot.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"buckthorndrum/admitter"
 	"buckthorndrum/identifier"
 )
 
@@ -153,9 +152,3 @@
 	}
 	return "", false
 }
-
-// Target is a target with the address at which it is reached.
-type Target struct {
-	admitter.Target
-	Address string
-}
--- a/forwarder/standin_test.go
+++ b/forwarder/standin_test.go
@@ -18,6 +18,7 @@
 	"buckthorndrum/admitter"
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 )
 
 // testDialect has headers of its own.
@@ -46,7 +47,8 @@
 }
 
 func (testDialect) Judge(status int, h http.Header) Verdict {
-	return Verdict{NotRun: h.Get("Not-Run") != "", Moved: status == http.StatusMisdirectedRequest, Genuine: h.Get("Seal") != ""}
+	return Verdict{NotRun: h.Get("Not-Run") != "", Moved: status == http.StatusMisdirectedRequest, Genuine: h.Get("Seal") != "",
+		Leaving: h.Get("Leaving") != "", Pause: permitter.ReadPause(h["Pause"])}
 }
 
 // arrival is a request as a target has seen it.
@@ -64,7 +66,9 @@
 	address  string
 	mu       sync.Mutex
 	arrivals []arrival
-	list     []Target
+	// open counts the connections to each target.
+	open map[string]int
+	list []admitter.Target
 }
 
 // script answers one request on its connection. The connection is closed when it
@@ -92,7 +96,7 @@
 // newFleetOf starts a router with some settings, and its targets.
 func newFleetOf(t testing.TB, cfg Config, scripts ...script) *fleet {
 	t.Helper()
-	f := &fleet{t: t, address: cfg.Listen}
+	f := &fleet{t: t, address: cfg.Listen, open: map[string]int{}}
 	router, err := Start(cfg)
 	if err != nil {
 		t.Fatal(err)
@@ -161,12 +165,16 @@
 			go f.serveTarget(id, c, s)
 		}
 	}()
-	f.list = append(f.list, Target{Target: admitter.Target{ID: identifier.Target(id), Pool: testPool, Slots: 8}, Address: l.Addr().String()})
+	f.list = append(f.list, admitter.Target{ID: identifier.Target(id), Pool: testPool, Slots: 8, Start: 1, Address: l.Addr().String()})
 	f.SetTargets(f.list)
 }
 
 func (f *fleet) serveTarget(id string, c net.Conn, s script) {
-	defer func() { _ = c.Close() }()
+	f.opened(id, 1)
+	defer func() {
+		_ = c.Close()
+		f.opened(id, -1)
+	}()
 	br := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(br)
@@ -183,6 +191,12 @@
 	}
 }
 
+func (f *fleet) opened(id string, n int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.open[id] += n
+}
+
 func (f *fleet) seen() []arrival {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -48,7 +48,7 @@
 			continue
 		}
 		if errors.Is(err, io.EOF) && p.empty() && c.begun() {
-			a.Keep()
+			f.keep(t, a)
 			return admitter.Answered, nil
 		}
 		a.Abort()
--- a/forwarder/summary.go
+++ b/forwarder/summary.go
@@ -14,6 +14,8 @@
 type Summary struct {
 	Loads map[identifier.Target]admitter.Load   `cbor:"1,keyasint,omitempty"`
 	Rates map[identifier.Workspace]sharer.Rates `cbor:"2,keyasint,omitempty"`
+	// Leaving are the targets that have said to a router that they leave.
+	Leaving admitter.Notices `cbor:"3,keyasint,omitempty"`
 }
 
 // Check reports whether a decoded summary is well formed.
@@ -23,6 +25,11 @@
 			return errors.Errorf("load of target %q is negative", id)
 		}
 	}
+	for id, n := range s.Leaving {
+		if n.Age < 0 {
+			return errors.Errorf("age of the notice of target %q is negative", id)
+		}
+	}
 	for w, r := range s.Rates {
 		if err := r.Check(); err != nil {
 			return errors.Wrapf(err, "check workspace %q", w)
@@ -33,12 +40,26 @@
 
 // NewSummary returns a summary of nothing.
 func NewSummary() Summary {
-	return Summary{Loads: map[identifier.Target]admitter.Load{}, Rates: map[identifier.Workspace]sharer.Rates{}}
+	return Summary{Loads: map[identifier.Target]admitter.Load{}, Rates: map[identifier.Workspace]sharer.Rates{}, Leaving: admitter.Notices{}}
 }
 
 // Add adds t to a summary that NewSummary has made.
 func (s Summary) Add(t Summary) { s.add(t, 1) }
 
+// Aged returns the summary as it is a while later.
+func (s Summary) Aged(d time.Duration) Summary {
+	if len(s.Leaving) == 0 {
+		return s
+	}
+	aged := make(admitter.Notices, len(s.Leaving))
+	for id, n := range s.Leaving {
+		n.Age += max(0, d)
+		aged[id] = n
+	}
+	s.Leaving = aged
+	return s
+}
+
 // Plus returns the sum of two summaries.
 func (s Summary) Plus(t Summary) Summary { return s.combine(t, 1) }
 
@@ -53,7 +74,8 @@
 	return sum
 }
 
-// add adds t, sign times. What would be negative is nothing.
+// add adds t, sign times. What would be negative is nothing, and what targets have said
+// to one router is as true without it.
 func (s Summary) add(t Summary, sign int) {
 	for id, l := range t.Loads {
 		a := s.Loads[id]
@@ -62,6 +84,12 @@
 	for w, r := range t.Rates {
 		s.Rates[w] = s.Rates[w].Plus(r, sign)
 	}
+	if sign < 0 {
+		return
+	}
+	for id, n := range t.Leaving {
+		s.Leaving.Add(id, n)
+	}
 }
 
 // Status is how far a router has followed the store.
@@ -77,11 +105,12 @@
 func (f *Forwarder) Summary(now identifier.Instant) Summary {
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
-	return Summary{Loads: f.board.admitter.Own(), Rates: f.board.sharer.Own(now)}
+	return Summary{Loads: f.board.admitter.Own(), Rates: f.board.sharer.Own(now), Leaving: f.board.admitter.Notices(now)}
 }
 
 // Heard takes in what all other routers have under way.
 func (f *Forwarder) Heard(now identifier.Instant, others Summary, routers int) {
+	f.heardNotices(now, others.Leaving)
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
 	f.board.peers = routers
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -267,7 +267,7 @@
 	}
 	others := forwarder.NewSummary()
 	for _, r := range live {
-		others.Add(r.Summary)
+		others.Add(r.Summary.Aged(now.Sub(r.heard)))
 	}
 	if believed {
 		i.cfg.Reader.Heard(now, others, len(live))
--- /dev/null
+++ b/permitter/pause.go
@@ -0,0 +1,48 @@
+package permitter
+
+import (
+	"regexp"
+	"strconv"
+	"time"
+)
+
+// Pause is what a target that turns a request away says of when to come back.
+type Pause struct {
+	// For is how long it wants no work, zero if it does not say. It is at most
+	// MaxPause.
+	For time.Duration
+	// Malformed tells that it says something else than one number of seconds up to
+	// MaxPause.
+	Malformed bool
+}
+
+// seconds is a number of seconds, whole or fractional.
+var seconds = regexp.MustCompile(`^[ \t]*([0-9]{1,18}(?:\.[0-9]{1,18})?)[ \t]*$`)
+
+// ReadPause reads the values of a Retry-After field. Of several numbers the largest
+// counts. What cannot be read stands for DefaultPause.
+func ReadPause(values []string) Pause {
+	if len(values) == 0 {
+		return Pause{}
+	}
+	p := Pause{Malformed: len(values) > 1}
+	for _, v := range values {
+		d, ok := readSeconds(v)
+		p.For = max(p.For, min(d, MaxPause))
+		p.Malformed = p.Malformed || !ok || d > MaxPause
+	}
+	return p
+}
+
+// readSeconds reads one number of seconds, which may be large.
+func readSeconds(v string) (time.Duration, bool) {
+	m := seconds.FindStringSubmatch(v)
+	if m == nil {
+		return DefaultPause, false
+	}
+	s, err := strconv.ParseFloat(m[1], 64)
+	if err != nil {
+		return DefaultPause, false
+	}
+	return time.Duration(min(s, (MaxPause+time.Second).Seconds()) * float64(time.Second)), true
+}
--- /dev/null
+++ b/permitter/pause_test.go
@@ -0,0 +1,56 @@
+package permitter
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+func TestReadPause(t *testing.T) {
+	for name, c := range map[string]struct {
+		values []string
+		want   Pause
+	}{
+		"none":               {nil, Pause{}},
+		"whole":              {[]string{"3"}, Pause{For: 3 * time.Second}},
+		"fractional":         {[]string{" 0.25 "}, Pause{For: 250 * time.Millisecond}},
+		"zero":               {[]string{"0"}, Pause{}},
+		"the longest":        {[]string{"600"}, Pause{For: MaxPause}},
+		"negative":           {[]string{"-1"}, Pause{DefaultPause, true}},
+		"no number":          {[]string{"soon"}, Pause{DefaultPause, true}},
+		"not a number":       {[]string{"NaN"}, Pause{DefaultPause, true}},
+		"without end":        {[]string{"Inf"}, Pause{DefaultPause, true}},
+		"with an exponent":   {[]string{"1e9"}, Pause{DefaultPause, true}},
+		"empty":              {[]string{""}, Pause{DefaultPause, true}},
+		"a date":             {[]string{"Fri, 04 Dec 2026 14:00:00 GMT"}, Pause{DefaultPause, true}},
+		"a year":             {[]string{"31536000"}, Pause{MaxPause, true}},
+		"many digits":        {[]string{strings.Repeat("9", 400)}, Pause{DefaultPause, true}},
+		"twice":              {[]string{"1", "4"}, Pause{4 * time.Second, true}},
+		"twice, one a date":  {[]string{"Fri, 04 Dec 2026 14:00:00 GMT", "4"}, Pause{4 * time.Second, true}},
+		"two in one":         {[]string{"1, 4"}, Pause{DefaultPause, true}},
+		"a line in the text": {[]string{"1\n"}, Pause{DefaultPause, true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			NewWithT(t).Expect(ReadPause(c.values)).To(Equal(c.want))
+		})
+	}
+}
+
+func FuzzReadPause(f *testing.F) {
+	for _, v := range []string{"1", "0.5", "-1", "31536000", "Fri, 04 Dec 2026 14:00:00 GMT", "1e9", "9999999999999999999", ""} {
+		f.Add(v, v)
+	}
+	f.Fuzz(func(t *testing.T, a, b string) {
+		for _, values := range [][]string{{a}, {a, b}} {
+			p := ReadPause(values)
+			if p.For < 0 || p.For > MaxPause {
+				t.Fatalf("%q is a pause of %s", values, p.For)
+			}
+			if len(values) == 2 && !p.Malformed {
+				t.Fatalf("%q is taken for one value", values)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/permitter/permit_test.go
@@ -0,0 +1,110 @@
+package permitter
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"buckthorndrum/identifier"
+)
+
+const second = identifier.Instant(time.Second)
+
+func TestOneThatSaidThatItLeavesIsGivenNothingEver(t *testing.T) {
+	g := NewWithT(t)
+	var p Permit
+	g.Expect(p.Leave(second)).To(BeTrue())
+	g.Expect(p.Leave(2 * second)).To(BeFalse())
+	p.List(false)
+	p.Answered()
+	g.Expect(p.At(1000*second, 0)).To(Equal(Decision{Reason: Leaving, Since: second}))
+}
+
+// What a peer says does not bind.
+func TestOneThatAPeerSaysLeavesMayBeGivenWork(t *testing.T) {
+	g := NewWithT(t)
+	var p Permit
+	g.Expect(p.Tell(second)).To(BeTrue())
+	g.Expect(p.Tell(2 * second)).To(BeFalse())
+	g.Expect(p.At(2*second, 0).Open()).To(BeTrue())
+	g.Expect(p.Told(2 * second)).To(BeTrue())
+	g.Expect(p.Told(2*second + identifier.Instant(ToldLife))).To(BeFalse())
+}
+
+// Pauses that overlap end with the last end of all, and never sooner than any of them.
+func TestPausesThatOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var p Permit
+		now, end := second, identifier.Instant(0)
+		for range rapid.IntRange(1, 10).Draw(t, "pauses") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "after")) * time.Millisecond)
+			d := time.Duration(rapid.IntRange(-10, 5000).Draw(t, "for")) * time.Millisecond
+			p.Pause(now, d, rapid.Float64Range(0, 1).Draw(t, "draw"))
+			if d > 0 {
+				end = max(end, now.Add(d))
+			}
+			if got := p.At(now, 0); now < end && (got.Reason != Pausing || got.Until < end) {
+				t.Fatalf("%v at %d, of a pause until %d", got, now, end)
+			}
+		}
+		if last := p.At(end.Add(-1), 0); end > now && last.Reason != Pausing {
+			t.Fatalf("%v just before the end", last)
+		}
+	})
+}
+
+func TestPausesHaveABound(t *testing.T) {
+	g := NewWithT(t)
+	var p Permit
+	p.Pause(second, 365*24*time.Hour, 1)
+	g.Expect(p.At(second, 0).Until).To(BeNumerically("<=", second.Add(MaxPause+MaxPause/pauseSpread)))
+}
+
+// A hundred processes that were told to pause at the same moment come back one by one,
+// and each with a little first.
+func TestAHundredThatReturnAreNoHerd(t *testing.T) {
+	g := NewWithT(t)
+	rng := rand.New(rand.NewPCG(1, 2))
+	const processes, wants = 100, 8
+	list := make([]Permit, processes)
+	running := make([]int, processes)
+	for i := range list {
+		list[i].Pause(second, time.Second, rng.Float64())
+	}
+	most, total := 0, 0
+	for ms := range 3000 {
+		now := second.Add(time.Duration(ms) * time.Millisecond)
+		begun := 0
+		for i := range list {
+			for running[i] < wants && list[i].At(now, running[i]).Open() {
+				running[i]++
+				begun++
+			}
+		}
+		g.Expect(ms >= 1000 || begun == 0).To(BeTrue(), "%d requests after %d ms of a pause of a second", begun, ms)
+		most = max(most, begun)
+		total += begun
+	}
+	g.Expect(most).To(BeNumerically("<=", processes/10), "requests in one millisecond")
+	g.Expect(total).To(Equal(processes*wants), "all return in the end")
+}
+
+func TestBrokenConnectionsCostMoreAndMore(t *testing.T) {
+	g := NewWithT(t)
+	var p Permit
+	now := second
+	for _, want := range []time.Duration{brokenFirst, 2 * brokenFirst, 4 * brokenFirst, brokenMost, brokenMost} {
+		p.Break(now)
+		d := p.At(now, 0)
+		g.Expect(d.Reason).To(Equal(Broken))
+		g.Expect(d.Until.Sub(now)).To(Equal(want))
+		now = d.Until
+		g.Expect(p.At(now, 0).Open()).To(BeTrue())
+	}
+	p.Answered()
+	p.Break(now)
+	g.Expect(p.At(now, 0).Until.Sub(now)).To(Equal(brokenFirst))
+}
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -4,7 +4,7 @@
 	"sort"
 	"time"
 
-	"buckthorndrum/forwarder"
+	"buckthorndrum/admitter"
 	"buckthorndrum/identifier"
 )
 
@@ -19,7 +19,7 @@
 // concurrent use.
 type Tracker struct {
 	cfg     Config
-	targets map[string]forwarder.Target
+	targets map[string]admitter.Target
 	// missing holds when a target is dropped whose entry is gone since an outage.
 	missing map[string]identifier.Instant
 	// lost is since when the store has not answered, zero while it does.
@@ -32,7 +32,7 @@
 
 // New returns an empty tracker.
 func New(cfg Config) *Tracker {
-	return &Tracker{cfg: cfg, targets: map[string]forwarder.Target{}, missing: map[string]identifier.Instant{}}
+	return &Tracker{cfg: cfg, targets: map[string]admitter.Target{}, missing: map[string]identifier.Instant{}}
 }
 
 // Lost notes that the store did not answer, and tells whether that is new.
@@ -60,7 +60,7 @@
 }
 
 // Set notes a target.
-func (t *Tracker) Set(key string, v forwarder.Target) {
+func (t *Tracker) Set(key string, v admitter.Target) {
 	delete(t.missing, key)
 	if old, known := t.targets[key]; known && old == v {
 		return
@@ -108,7 +108,7 @@
 
 // Targets returns the list in a fixed order, and whether it has changed since the
 // last call.
-func (t *Tracker) Targets(now identifier.Instant) ([]forwarder.Target, bool) {
+func (t *Tracker) Targets(now identifier.Instant) ([]admitter.Target, bool) {
 	for key, at := range t.missing {
 		if now >= at {
 			t.drop(key)
@@ -118,7 +118,7 @@
 		return nil, false
 	}
 	t.changed = false
-	list := make([]forwarder.Target, 0, len(t.targets))
+	list := make([]admitter.Target, 0, len(t.targets))
 	for _, v := range t.targets {
 		list = append(list, v)
 	}
--- a/tracker/tracker_test.go
+++ b/tracker/tracker_test.go
@@ -7,14 +7,13 @@
 	. "github.com/onsi/gomega"
 
 	"buckthorndrum/admitter"
-	"buckthorndrum/forwarder"
 	"buckthorndrum/identifier"
 )
 
 const second = identifier.Instant(time.Second)
 
-func named(id identifier.Target) forwarder.Target {
-	return forwarder.Target{Target: admitter.Target{ID: id}, Address: "a"}
+func named(id identifier.Target) admitter.Target {
+	return admitter.Target{ID: id, Address: "a"}
 }
 
 func ids(t *Tracker, now identifier.Instant) []identifier.Target {
