acceptor, forwarder, platform: what lay unread for long is left to other routers

Its connection had received nothing more: a caller that gives up so does not close at once, so that to look for its close shows nothing. A router counted a request's age from its handler, and did not know that it had lain in the kernel's queue behind others. Change: the port looks, after it has taken a connection, whether others wait, and so knows since when they have without a pause. It is a cheap answer at a time when answers are dear. Looking for the caller's close only: there is none.

--- a/acceptor/port.go
+++ b/acceptor/port.go
@@ -8,6 +8,9 @@
 
 	"github.com/pkg/errors"
 	"golang.org/x/sys/unix"
+
+	"buckthorndrum/clocker"
+	"buckthorndrum/identifier"
 )
 
 // Port is where callers connect. When it closes, it first hands on the connections
@@ -15,6 +18,7 @@
 type Port struct {
 	*net.TCPListener
 	closing atomic.Bool
+	backlog backlog
 }
 
 const (
@@ -50,9 +54,29 @@
 	if err != nil && p.closing.Load() {
 		return nil, net.ErrClosed
 	}
+	if err == nil {
+		p.backlog.taken(clocker.Coarse(), p.waits)
+	}
 	return c, err
 }
 
+// Since returns since when connections have waited to be taken without a pause, or when one
+// was last taken if none waits. The one that was taken last came no sooner.
+func (p *Port) Since() identifier.Instant { return identifier.Instant(p.backlog.since.Load()) }
+
+// waits tells whether connections wait to be taken.
+func (p *Port) waits() bool {
+	raw, err := p.SyscallConn()
+	if err != nil {
+		return false
+	}
+	n := 0
+	_ = raw.Control(func(fd uintptr) {
+		n, _ = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}, 0)
+	})
+	return n > 0
+}
+
 // Leave closes the port once its queue is empty. The channel is closed when the
 // server has taken its last connection. Nothing new comes into the queue
 // meanwhile: what came after it was last emptied would be reset by the close. Where
--- a/acceptor/received.go
+++ b/acceptor/received.go
@@ -4,23 +4,49 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 
 	"github.com/pkg/errors"
+
+	"buckthorndrum/identifier"
 )
 
-// connKey is the key of a caller's connection in the context of its requests.
+// connKey is the key of what is remembered in the context of a connection's requests.
 type connKey struct{}
 
-// Remember puts a connection into the context of its requests.
-func Remember(ctx context.Context, c net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, c)
+// remembered is a caller's connection.
+type remembered struct {
+	net.Conn
+	// since is when it came at the earliest.
+	since identifier.Instant
+	// used tells that a request has come on it.
+	used atomic.Bool
+}
+
+// Remember puts a connection that came no sooner than an instant into the context of its
+// requests.
+func Remember(ctx context.Context, c net.Conn, since identifier.Instant) context.Context {
+	return context.WithValue(ctx, connKey{}, &remembered{Conn: c, since: since})
 }
 
 // Connection returns the connection of a request, nil if it was not remembered.
 func Connection(r *http.Request) net.Conn {
-	c, _ := r.Context().Value(connKey{}).(net.Conn)
-	return c
+	if c, ok := r.Context().Value(connKey{}).(*remembered); ok {
+		return c.Conn
+	}
+	return nil
+}
+
+// CameAfter returns an instant before which a request did not come: for the first one of
+// a connection when that came at the earliest, otherwise now. It is asked once for each
+// request.
+func CameAfter(r *http.Request, now identifier.Instant) identifier.Instant {
+	c, ok := r.Context().Value(connKey{}).(*remembered)
+	if !ok || c.used.Swap(true) || c.since == 0 {
+		return now
+	}
+	return min(c.since, now)
 }
 
 // HasLeft tells whether the caller of a request has closed its connection. The
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"buckthorndrum/acceptor"
 	"buckthorndrum/admitter"
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
@@ -19,6 +20,8 @@
 	facts   Facts
 	body    []byte
 	arrived identifier.Instant
+	// came is when it came at the earliest. It may have waited unread since then.
+	came identifier.Instant
 	// deadline is when the caller is answered at the latest.
 	deadline  identifier.Instant
 	route     *Route
@@ -55,6 +58,7 @@
 // ServeHTTP serves one caller's request.
 func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := &call{w: w, r: r, arrived: clocker.Coarse(), seed: rand.Uint64(), held: holding{ledger: &f.ledger}}
+	c.came = acceptor.CameAfter(r, c.arrived)
 	defer c.held.release()
 	if f.board.stopping.Load() || f.callers.Crowded() || f.strain.sendsAway(c.arrived) {
 		w.Header().Set("Connection", "close")
--- a/forwarder/callers_test.go
+++ b/forwarder/callers_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -55,12 +56,46 @@
 			c.does(caller)
 			time.Sleep(10 * time.Millisecond)
 			r := &http.Request{}
-			q := &call{r: r.WithContext(acceptor.Remember(context.Background(), router)), arrived: clocker.Now().Add(-c.arrived), runs: c.runs}
+			q := &call{r: r.WithContext(acceptor.Remember(context.Background(), router, 0)), arrived: clocker.Now().Add(-c.arrived), runs: c.runs}
 			g.Expect(q.wanted()).To(Equal(c.wanted))
 		})
 	}
 }
 
+// A request that may have lain unread behind others for so long that its caller has given
+// it up, which does not close its connection at once, is not sent on (a flood of
+// ndtra-baling-grown: GONE). Later requests on its connection are.
+func TestRequestThatLayUnreadBehindOthersIsNotSent(t *testing.T) {
+	for name, c := range map[string]struct {
+		lay, unread time.Duration
+		status      int
+	}{
+		"for long":                          {600 * time.Millisecond, 500 * time.Millisecond, http.StatusServiceUnavailable},
+		"shortly":                           {0, 500 * time.Millisecond, http.StatusOK},
+		"for long, and its caller may wait": {600 * time.Millisecond, 0, http.StatusOK},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t, whole)
+			_, router := connected(t)
+			ctx := acceptor.Remember(context.Background(), router, clocker.Now().Add(-c.lay))
+			status := func() int {
+				w := httptest.NewRecorder()
+				r := httptest.NewRequest(http.MethodGet, "/lookup/1", nil).WithContext(ctx)
+				r.Host = "desk"
+				r.Header = http.Header{"Key": {"k"}, "Id": {"id1"}, "Unread": {c.unread.String()}}
+				f.ServeHTTP(w, r)
+				return w.Code
+			}
+			g.Expect(status()).To(Equal(c.status))
+			if c.status != http.StatusOK {
+				g.Expect(f.seen()).To(BeEmpty())
+			}
+			g.Expect(status()).To(Equal(http.StatusOK), "the next one on the connection has not waited")
+		})
+	}
+}
+
 func TestIdleConnectionsAreClosed(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t, whole)
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -26,8 +26,11 @@
 	ID identifier.Request
 	// Patience is how long the caller waits, zero if it does not say.
 	Patience time.Duration
-	Key      string
-	Model    string
+	// Unread is how long it waits at most for its request to be read, zero if it does
+	// not say.
+	Unread time.Duration
+	Key    string
+	Model  string
 	// Prompt and Output are tokens to read and the most to generate.
 	Prompt int
 	Output int
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -139,8 +139,10 @@
 		MaxHeaderBytes:    maxCallerHead,
 		ConnState:         f.callers.Note,
 		BaseContext:       func(net.Listener) context.Context { return f.calls },
-		ConnContext:       acceptor.Remember,
-		ErrorLog:          zap.NewStdLog(f.log),
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return acceptor.Remember(ctx, c, f.listener.Since())
+		},
+		ErrorLog: zap.NewStdLog(f.log),
 	}
 	go f.serve()
 	go f.sweep()
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -59,6 +59,12 @@
 // better.
 const lateToSend = time.Second
 
+// unread tells that the request may have waited to be read for so long that its caller has
+// given it up. Then nobody closes the connection at once.
+func (c *call) unread() bool {
+	return c.facts.Unread > 0 && clocker.Coarse().Sub(c.came) > c.facts.Unread
+}
+
 // wanted tells whether the caller still waits for a request that is about to be
 // sent.
 func (c *call) wanted() bool {
--- a/forwarder/strain.go
+++ b/forwarder/strain.go
@@ -197,21 +197,22 @@
 }
 
 // leavesToOthers decides whether a request is left to other routers, as this one
-// is short of processor time. One that may be is noted as asked for, so that its
+// is short of processor time: it refuses a part of all, and those that lay unread for long. One that may be is noted as asked for, so that its
 // workspace counts as needy.
 func (f *Forwarder) leavesToOthers(c *call) bool {
 	f.lookIfDue(c.arrived)
 	s := f.board.snapshot.Load()
-	if s == nil || f.strain.share.Load() == 0 {
-		return false
+	unread := c.unread()
+	if s == nil || f.strain.share.Load() == 0 && !unread {
+		return unread
 	}
 	w, ok := s.WorkspaceOf(c.facts.Key)
 	if !ok {
-		return f.strain.refuses(w, 1)
+		return unread || f.strain.refuses(w, 1)
 	}
 	c.workspace = w
 	f.asked(c.arrived, c)
-	if !f.strain.refuses(w, f.standing(c.arrived, w)) {
+	if !unread && !f.strain.refuses(w, f.standing(c.arrived, w)) {
 		return false
 	}
 	f.board.mu.Lock()
