--- a/agent/agent.go
+++ b/agent/agent.go
@@ -96,11 +96,12 @@
 		log:     cfg.Log.Named("agent").With(zap.String("target", string(cfg.Target))),
 		metrics: newMetrics(),
 		pacer:   counter.Pacer{Budget: counter.DefaultBudget},
-		client:  newTargetClient(),
 		address: address,
 		started: time.Now(),
 		done:    make(chan struct{}),
 	}
+	a.client = newTargetClient()
+	a.client.Transport = hearer{a.client.Transport, a.heed}
 	a.metrics.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "buckthorndrum_agent_running", Help: "Requests that run at the target.",
 	}, func() float64 { return float64(a.Load().Running) }))
@@ -171,6 +172,7 @@
 			a.place()
 		case <-house.C:
 			a.housekeep()
+			a.lookWhetherGone()
 		case <-beats.C:
 			a.board.mu.Lock()
 			a.beat()
@@ -185,6 +187,7 @@
 	a.board.mu.Lock()
 	defer a.board.mu.Unlock()
 	a.sync()
+	a.holdOrGoOn(now())
 	a.apply(a.board.sched.Tick(now()))
 	if a.board.toldFull && a.board.sched.WantsWork(now()) {
 		a.beat()
--- a/agent/board.go
+++ b/agent/board.go
@@ -8,6 +8,7 @@
 	"buckthorndrum/identifier"
 	"buckthorndrum/keeper"
 	"buckthorndrum/linker"
+	"buckthorndrum/permitter"
 	"buckthorndrum/placer"
 	"buckthorndrum/scheduler"
 )
@@ -32,6 +33,8 @@
 	stopping bool
 	// retired tells that the configuration wants the target to leave.
 	retired bool
+	// permit is what the target has said of the work that it wants.
+	permit permitter.Permit
 	// turn counts the peers that were told everything again.
 	turn int
 	// toldFull tells that the routers were last told that there is no room.
@@ -55,7 +58,9 @@
 }
 
 // leaving tells that the target takes no new work.
-func (b *board) leaving() bool { return b.stopping || b.retired }
+func (b *board) leaving() bool {
+	return b.stopping || b.retired || b.permit.LeavingSince() != 0
+}
 
 func newBoard(self identifier.Origin) *board {
 	table := counter.New(counter.Config{Self: self})
--- a/agent/metrics.go
+++ b/agent/metrics.go
@@ -12,6 +12,7 @@
 	tokens    prometheus.Counter
 	orders    prometheus.Counter
 	outcomes  *prometheus.CounterVec
+	words     *prometheus.CounterVec
 	revision  prometheus.Gauge
 }
 
@@ -24,7 +25,8 @@
 		orders:    prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_agent_weight_orders_total", Help: "Orders to the engine to load weights."}),
 		outcomes:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_agent_outcomes_total", Help: "Requests ended, by outcome."}, []string{"outcome"}),
 	}
+	m.words = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_agent_words_total", Help: "What the target said in answers of the work that it wants."}, []string{"word"})
 	m.revision = prometheus.NewGauge(prometheus.GaugeOpts{Name: "buckthorndrum_agent_config_revision", Help: "Configuration revision in force."})
-	m.registry.MustRegister(m.revision, m.grants, m.preempted, m.tokens, m.orders, m.outcomes)
+	m.registry.MustRegister(m.revision, m.grants, m.preempted, m.tokens, m.orders, m.outcomes, m.words)
 	return m
 }
--- a/agent/run.go
+++ b/agent/run.go
@@ -184,6 +184,10 @@
 	run, interrupt := context.WithCancel(ctx)
 	defer interrupt()
 	a.board.mu.Lock()
+	if d := a.decide(now()); !d.Open() {
+		a.board.mu.Unlock()
+		return 0, fmt.Errorf("%w: target %s", errNotRun, d.Reason), false
+	}
 	rec.interrupt = interrupt
 	c := a.callFor(rec, kind)
 	if rec.preempted {
--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -18,6 +18,7 @@
 
 	refusedNoTarget = "no target takes work"
 	refusedBusy     = "targets are busy"
+	refusedPausing  = "targets asked for a pause"
 	refusedBeyond   = "workspace is beyond its share"
 
 	reasonShort  = "This router is short of processor time."
@@ -98,6 +99,8 @@
 			1/l.Standing, l.Limit, l.Expected)
 	case l.Refused == refusedBusy:
 		return fmt.Sprintf("The soonest target was expected to need %s to a first token, %s were allowed; it was not run.", l.Expected, l.Limit)
+	case l.Refused == refusedPausing:
+		return fmt.Sprintf("All targets of its pool that do not leave had asked for a pause, the shortest of which had %s left; it was not run.", l.Expected)
 	case l.Refused == refusedNoTarget:
 		return "No target of its pool took work" + h.changed() + "; it was not run."
 	case l.Sends > 0:
@@ -196,8 +199,11 @@
 // changed tells of the last change of targets.
 func (h *History) changed() string {
 	for i := len(h.Meanwhile) - 1; i >= 0; i-- {
-		if l := &h.Meanwhile[i]; l.Message == "targets changed" {
+		switch l := &h.Meanwhile[i]; l.Message {
+		case msgTargets:
 			return " (targets changed at " + clock(l.At) + ")"
+		case msgLeaves:
+			return fmt.Sprintf(" (target %s said at %s that it leaves)", l.Target, clock(l.At))
 		}
 	}
 	return ""
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -26,20 +26,22 @@
 // Each way in which a request ends has its cause in one sentence.
 func TestCauses(t *testing.T) {
 	for id, want := range map[identifier.Request]string{
-		"plain":  "It was answered whole by target t1.",
-		"busy":   "The soonest target was expected to need 610ms to a first token, 480ms were allowed; it was not run.",
-		"share":  "Its workspace had had 2.0 times its share, so that a first token was allowed 240ms only, and no target with room for it was expected to be that soon (soonest of all 82ms); it was not run.",
-		"held":   "Its workspace was held back for the sake of another that was given less than half of what it asked for (standing 0.80); it was not run.",
-		"stale":  "Its router had no proof that its configuration was the newest (the last one 3.2s old), as it had lost the store at 10:00:05.000; it was not run.",
-		"ticket": "Target t2 had it and gave no whole answer (read answer at 10.0.0.9:80: EOF); it may have run, so it was not sent again. Others at this target within 2s: 1 answered, 1 unknown.",
-		"twice":  "The answer of target t3 broke off after it had begun (read answer at 10.0.0.3:80: connection reset by peer), so the caller's was broken off too, not to look whole.",
-		"gone":   "Its caller left when its time limit had passed, after 600ms; target t2 had it and had not answered, so it may have run.",
-		"late":   "Target t2 had it and gave no whole answer before the time limit passed, after 600ms; it may have run, so it was not sent again.",
-		"stops":  "Its router stopped and could wait no longer; target t2 had it and had not answered whole, so it may have run.",
-		"unsent": "Its router stopped and could wait no longer; none of its 0 sendings had been taken by a target, so it was not run.",
-		"denied": "It was turned away for what it asked: The key is not valid.",
-		"killed": "Its router wrote of it but not of its end: it was killed with the request in hand, or it still has it.",
-		"none":   "No router wrote of it. They left out 40 lines, and it may be among these.",
+		"plain":   "It was answered whole by target t1.",
+		"busy":    "The soonest target was expected to need 610ms to a first token, 480ms were allowed; it was not run.",
+		"share":   "Its workspace had had 2.0 times its share, so that a first token was allowed 240ms only, and no target with room for it was expected to be that soon (soonest of all 82ms); it was not run.",
+		"held":    "Its workspace was held back for the sake of another that was given less than half of what it asked for (standing 0.80); it was not run.",
+		"stale":   "Its router had no proof that its configuration was the newest (the last one 3.2s old), as it had lost the store at 10:00:05.000; it was not run.",
+		"ticket":  "Target t2 had it and gave no whole answer (read answer at 10.0.0.9:80: EOF); it may have run, so it was not sent again. Others at this target within 2s: 1 answered, 1 unknown.",
+		"twice":   "The answer of target t3 broke off after it had begun (read answer at 10.0.0.3:80: connection reset by peer), so the caller's was broken off too, not to look whole.",
+		"gone":    "Its caller left when its time limit had passed, after 600ms; target t2 had it and had not answered, so it may have run.",
+		"late":    "Target t2 had it and gave no whole answer before the time limit passed, after 600ms; it may have run, so it was not sent again.",
+		"stops":   "Its router stopped and could wait no longer; target t2 had it and had not answered whole, so it may have run.",
+		"unsent":  "Its router stopped and could wait no longer; none of its 0 sendings had been taken by a target, so it was not run.",
+		"denied":  "It was turned away for what it asked: The key is not valid.",
+		"pausing": "All targets of its pool that do not leave had asked for a pause, the shortest of which had 3.2s left; it was not run.",
+		"left":    "No target of its pool took work (target t2 said at 10:03:00.000 that it leaves); it was not run.",
+		"killed":  "Its router wrote of it but not of its end: it was killed with the request in hand, or it still has it.",
+		"none":    "No router wrote of it. They left out 40 lines, and it may be among these.",
 	} {
 		t.Run(string(id), func(t *testing.T) {
 			NewWithT(t).Expect(causes(t, id)).To(Equal(want))
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -50,6 +50,8 @@
 	msgLeftOut  = "lines left out"
 	msgShort    = "processor time is short"
 	msgStopping = "stopping"
+	msgTargets  = "targets changed"
+	msgLeaves   = "target leaves"
 )
 
 // duration is written as Go writes it, as 1.5s.
--- a/forwarder/heed_test.go
+++ b/forwarder/heed_test.go
@@ -18,22 +18,22 @@
 	"buckthorndrum/identifier"
 )
 
-// arrivalsAt counts the requests that came to a target.
-func (f *fleet) arrivalsAt(id string) int {
+// arrivalsAtFirst counts the requests that came to the first target.
+func (f *fleet) arrivalsAtFirst() int {
 	n := 0
 	for _, a := range f.seen() {
-		if a.target == id {
+		if a.target == "t0" {
 			n++
 		}
 	}
 	return n
 }
 
-// openAt counts the open connections to a target.
-func (f *fleet) openAt(id string) int {
+// openAtFirst counts the open connections to the first target.
+func (f *fleet) openAtFirst() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.open[id]
+	return f.open["t0"]
 }
 
 // leavesWith are the answers by which a target says that it leaves.
@@ -76,14 +76,14 @@
 				path = "/stream/1"
 			}
 			f.send(f.request(http.MethodGet, path, ""))
-			g.Expect(f.arrivalsAt("t0")).To(Equal(1))
+			g.Expect(f.arrivalsAtFirst()).To(Equal(1))
 			f.addTarget("t1", whole)
 			for range 20 {
 				f.SetTargets(f.list)
 				g.Expect(f.send(f.request(http.MethodGet, "/lookup/1", "")).status).To(Equal(http.StatusOK))
 			}
-			g.Expect(f.arrivalsAt("t0")).To(Equal(1))
-			g.Eventually(func() int { return f.openAt("t0") }, "2s").Should(BeZero(), "its connections are closed")
+			g.Expect(f.arrivalsAtFirst()).To(Equal(1))
+			g.Eventually(func() int { return f.openAtFirst() }, "2s").Should(BeZero(), "its connections are closed")
 		})
 	}
 }
@@ -209,15 +209,15 @@
 	f := newFleet(t, pausing("1"))
 	f.send(f.request(http.MethodGet, "/lookup/1", ""))
 	asked := time.Now()
-	g.Expect(f.arrivalsAt("t0")).To(Equal(1))
+	g.Expect(f.arrivalsAtFirst()).To(Equal(1))
 	f.addTarget("t1", whole)
 	for time.Since(asked) < 900*time.Millisecond {
 		g.Expect(f.send(f.request(http.MethodGet, "/lookup/1", "")).status).To(Equal(http.StatusOK))
 	}
-	g.Expect(f.arrivalsAt("t0")).To(Equal(1))
+	g.Expect(f.arrivalsAtFirst()).To(Equal(1))
 	g.Eventually(func() int {
 		f.send(f.request(http.MethodGet, "/lookup/1", ""))
-		return f.arrivalsAt("t0")
+		return f.arrivalsAtFirst()
 	}, "5s").Should(BeNumerically(">", 1))
 }
 
@@ -265,7 +265,7 @@
 	for range 200 {
 		f.send(f.request(http.MethodGet, "/lookup/1", ""))
 	}
-	g.Expect(f.arrivalsAt("t0")).To(BeNumerically(">", 0))
+	g.Expect(f.arrivalsAtFirst()).To(BeNumerically(">", 0))
 	page := httptest.NewRecorder()
 	f.Metrics().ServeHTTP(page, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	g.Expect(page.Body.String()).To(ContainSubstring(`sendings_total{result="answered"}`))
@@ -297,11 +297,11 @@
 	for range 20 {
 		g.Expect(f.send(f.request(http.MethodGet, "/lookup/1", "")).status).To(Equal(http.StatusOK))
 	}
-	g.Expect(f.arrivalsAt("t0")).To(BeZero())
+	g.Expect(f.arrivalsAtFirst()).To(BeZero())
 	f.list = f.list[:1]
 	f.SetTargets(f.list)
 	g.Expect(f.send(f.request(http.MethodGet, "/lookup/1", "")).status).To(Equal(http.StatusOK))
-	g.Expect(f.arrivalsAt("t0")).To(Equal(1))
+	g.Expect(f.arrivalsAtFirst()).To(Equal(1))
 }
 
 // A router tells others what targets have said to it, until the list says so too.
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -102,6 +102,26 @@
 	}
 }
 
+// What a target has said to one router reaches the others through a hub, older by the
+// time that it took.
+func TestNoticesReachTheOthers(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	_, readers := fleet(t, ctx, 1, 2, 4, 8)
+	said := admitter.Notice{Start: 3, Age: time.Second}
+	readers[2].mu.Lock()
+	readers[2].says.Leaving = admitter.Notices{"t": said}
+	readers[2].mu.Unlock()
+	for _, n := range []int{0, 1, 3} {
+		g.Eventually(func() admitter.Notice {
+			readers[n].mu.Lock()
+			defer readers[n].mu.Unlock()
+			return readers[n].others.Leaving["t"]
+		}, "3s").Should(And(HaveField("Start", said.Start), HaveField("Age", BeNumerically(">=", said.Age))), "router %d", n)
+	}
+}
+
 func TestNextRouterBecomesHub(t *testing.T) {
 	g := NewWithT(t)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/scheduler/scheduler.go
+++ b/scheduler/scheduler.go
@@ -56,6 +56,8 @@
 	pace       pace
 	prefixes   *prefixes
 	draining   bool
+	// onHold tells that nothing is started and no grant issued for now.
+	onHold bool
 	// served are the kinds that the target takes work of, nil for all.
 	served map[identifier.Kind]bool
 	// preempted is when a preemption was last looked for.
@@ -101,6 +103,29 @@
 // outstanding stay valid until they expire.
 func (s *Scheduler) SetDraining(on bool) { s.draining = on }
 
+// Hold stops all starts and grants, or allows them again. What was granted before is
+// void, so that its routers look for other targets.
+func (s *Scheduler) Hold(on bool) {
+	if on && !s.onHold {
+		s.void()
+	}
+	s.onHold = on
+}
+
+// Withdraw takes back all grants, and returns the requests that were handed over and have
+// not been started. These are the caller's to end.
+func (s *Scheduler) Withdraw() []identifier.Request {
+	s.void()
+	return append([]identifier.Request(nil), s.queued...)
+}
+
+// void takes back all grants.
+func (s *Scheduler) void() {
+	for n, g := range s.grants {
+		s.release(n, g)
+	}
+}
+
 // Draining tells whether grants are stopped.
 func (s *Scheduler) Draining() bool { return s.draining }
 
@@ -138,7 +163,7 @@
 
 // WantsWork tells that the target has room and nothing is offered to fill it.
 func (s *Scheduler) WantsWork(now identifier.Instant) bool {
-	return !s.draining && s.room(now) > 0 && len(s.waitingKinds()) == 0
+	return !s.draining && !s.onHold && s.room(now) > 0 && len(s.waitingKinds()) == 0
 }
 
 // Tick expires grants and fills the room that they leave.
@@ -161,6 +186,9 @@
 // fill starts queued work and issues grants while there is room.
 func (s *Scheduler) fill(now identifier.Instant) Actions {
 	var acts Actions
+	if s.onHold {
+		return acts
+	}
 	s.startQueued(now, &acts)
 	for s.room(now) > 0 {
 		if !s.grantNext(now, &acts) {
