--- a/sharer/needy.go
+++ b/sharer/needy.go
@@ -77,10 +77,15 @@
 // the window or is not.
 func (s *Sharer) grain() float64 { return s.largest / window.Seconds() }
 
+// chance is how many of the largest requests a workspace may lack without being in need.
+// Most workspaces send few and large ones, and one of many always lacks some by chance.
+const chance = 3
+
 // basis is what those are compared with who are held back for the sake of a workspace
 // that has so much, in tokens a second. One that asks for less than its share is not kept
 // from it by others that have no more than it asks for.
 func (s *Sharer) basis(r Rates, had float64) float64 {
+	had += s.grain()
 	if asked := float64(r.Asked); asked <= s.level {
 		return max(had, asked)
 	}
@@ -126,8 +131,7 @@
 		delete(s.needy, w)
 		return
 	}
-	had += s.grain()
-	if float64(r.Asked) <= 2*had {
+	if float64(r.Asked) <= 2*(had+chance*s.grain()) {
 		if n != nil && 2*r.Asked > n.asked {
 			delete(s.needy, w)
 		}
