sharer: nobody is held below one request, in place of one request more

Change: they are compared with what it has, or one such request if that is more. That is what the bound on its grain needs; the rest was slack. Tests: those of sharer; TestChanceHoldsBackNobody as before.

--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -60,7 +60,7 @@
 const lateToSend = time.Second
 
 // unread tells that the request may have waited to be read for so long that its caller has
-// given it up. Then nobody closes the connection at once.
+// given it up. Such a caller does not close its connection at once.
 func (c *call) unread() bool {
 	return c.facts.Unread > 0 && clocker.Coarse().Sub(c.came) > c.facts.Unread
 }
--- a/forwarder/strain.go
+++ b/forwarder/strain.go
@@ -197,8 +197,8 @@
 }
 
 // leavesToOthers decides whether a request is left to other routers, as this one
-// is short of processor time: it refuses a part of all, and those that lay unread for long. One that may be is noted as asked for, so that its
-// workspace counts as needy.
+// is short of processor time: it refuses a part of all, and those that lay unread for
+// long. One that may be is noted as asked for, so that its workspace counts as needy.
 func (f *Forwarder) leavesToOthers(c *call) bool {
 	f.lookIfDue(c.arrived)
 	s := f.board.snapshot.Load()
--- a/sharer/needy.go
+++ b/sharer/needy.go
@@ -85,7 +85,7 @@
 // that has so much, in tokens a second. One that asks for less than its share is not kept
 // from it by others that have no more than it asks for.
 func (s *Sharer) basis(r Rates, had float64) float64 {
-	had += s.grain()
+	had = max(had, s.grain())
 	if asked := float64(r.Asked); asked <= s.level {
 		return max(had, asked)
 	}
