agent, admitter: the look whether a target is gone does not hold up the agent's loop

Found on reading the whole change: an agent dialled its leaving target, for up to 0.1 s, in the loop that drives its scheduler each 5 ms. It does so beside the loop now. Besides, the two ways of a choice stand in a function of their own, and a doc comment says what it returns.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -132,18 +132,21 @@
 		return Choice{Refused: NoTarget, Wait: noTargetWait}
 	}
 	p.summarise(now)
-	c := Choice{}
-	if q.Model == "" {
-		c = p.plain(now, q)
-	} else {
-		c = a.engine(now, p, q)
-	}
+	c := a.pick(now, p, q)
 	if c.Refused == NoTarget {
 		return p.closed(now)
 	}
 	return c
 }
 
+// pick returns the target of a pool for a request.
+func (a *Admitter) pick(now identifier.Instant, p *pool, q Ask) Choice {
+	if q.Model == "" {
+		return p.plain(now, q)
+	}
+	return a.engine(now, p, q)
+}
+
 func contains(list []identifier.Target, t identifier.Target) bool {
 	for _, v := range list {
 		if v == t {
--- a/admitter/word.go
+++ b/admitter/word.go
@@ -61,8 +61,8 @@
 	return counts
 }
 
-// Closed is the refusal of requests for a pool, if no target of it takes work for a
-// time that is known. It refuses none otherwise.
+// Closed is the refusal of requests that no target of a pool may be given: Pausing if none
+// takes work, and when the first one will is known.
 func (a *Admitter) Closed(now identifier.Instant, id identifier.Pool) Choice {
 	if p := a.pools[id]; p != nil {
 		return p.closed(now)
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -172,7 +172,7 @@
 			a.place()
 		case <-house.C:
 			a.housekeep()
-			a.lookWhetherGone()
+			go a.lookWhetherGone()
 		case <-beats.C:
 			a.board.mu.Lock()
 			a.beat()
