--- /dev/null
+++ b/review/standin/server.go
@@ -0,0 +1,139 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// eventGap is the time between two events of a stream.
+const eventGap = 100 * time.Millisecond
+
+// server is a stand-in for a server of the platform. It runs in a process of its own, and
+// writes to standard output what it runs.
+type server struct {
+	id string
+	// unframed makes streams have neither a length nor chunks: they end with their
+	// connection.
+	unframed bool
+}
+
+// serverMain runs a server until it is killed, or until its standard input ends.
+func serverMain(args []string) {
+	flags := flag.NewFlagSet("server", flag.ExitOnError)
+	id := flags.String("id", "", "id of the server")
+	unframed := flags.Bool("unframed", false, "streams end with their connection")
+	_ = flags.Parse(args)
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		fmt.Println("error", err)
+		os.Exit(1)
+	}
+	fmt.Println("address", l.Addr())
+	s := &server{id: *id, unframed: *unframed}
+	go func() { _ = http.Serve(l, http.HandlerFunc(s.serve)) }()
+	_, _ = io.Copy(io.Discard, os.Stdin)
+}
+
+func (s *server) serve(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/health" {
+		w.Header().Set("X-Instance-Id", s.id)
+		return
+	}
+	id := r.Header.Get("X-Attempt-Id")
+	body, _ := io.ReadAll(r.Body)
+	w.Header().Set("X-Attempt-Id", id)
+	if expected := r.Header.Get("X-Expect-Instance"); expected != "" && expected != s.id {
+		w.Header().Set("X-Instance-Id", s.id)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	fmt.Printf("run %s %s %s body=%d tenant=%s deadline=%s\n", id, r.Method, r.URL.RequestURI(), len(body), r.Header.Get("X-Tenant"), r.Header.Get("X-Deadline-Ms"))
+	w.Header().Set("X-Response-Seal", "seal-"+id)
+	ms, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+	defer cancel()
+	if strings.HasPrefix(r.URL.Path, "/draft/") {
+		s.stream(ctx, w, r, id)
+		return
+	}
+	select {
+	case <-time.After(20 * time.Millisecond):
+	case <-ctx.Done():
+		fmt.Printf("dropped %s\n", id)
+		return
+	}
+	w.Header().Set("Content-Type", "text/plain")
+	_, _ = io.WriteString(w, "done "+id+" "+strings.Repeat("x", 800))
+	fmt.Printf("done %s\n", id)
+}
+
+// events returns how many events the stream of a request has: one for each output token.
+func events(r *http.Request) int {
+	_, out, _ := strings.Cut(r.Header.Get("X-Token-Usage"), ",")
+	n, _ := strconv.Atoi(out)
+	return n
+}
+
+// stream sends the events of a stream. Event n has the id n; the last one says so.
+func (s *server) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, id string) {
+	var out io.Writer = w
+	flush := func() { _ = http.NewResponseController(w).Flush() }
+	w.Header().Set("Content-Type", "text/event-stream")
+	if s.unframed {
+		conn, buf, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		h := w.Header().Clone()
+		h.Set("Connection", "close")
+		_, _ = buf.WriteString("HTTP/1.1 200 OK\r\n")
+		_ = h.Write(buf)
+		_, _ = buf.WriteString("\r\n")
+		out, flush = buf, func() { _ = buf.Flush() }
+		ctx = closedContext(ctx, conn)
+	}
+	total := events(r)
+	first := 1
+	if last, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = last + 1
+	}
+	for n := first; n <= total; n++ {
+		text := fmt.Sprintf("event %d of %d for %s", n, total, id)
+		if n == total {
+			text += " (last)"
+		}
+		if _, err := fmt.Fprintf(out, "id: %d\ndata: %s\n\n", n, text); err != nil {
+			break
+		}
+		flush()
+		select {
+		case <-time.After(eventGap):
+		case <-ctx.Done():
+			fmt.Printf("dropped %s after event %d of %d\n", id, n, total)
+			if !s.unframed {
+				panic(http.ErrAbortHandler)
+			}
+			return
+		}
+	}
+	fmt.Printf("done %s\n", id)
+}
+
+// closedContext returns a context that ends when the peer closes the connection.
+func closedContext(ctx context.Context, conn net.Conn) context.Context {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		defer cancel()
+		_, _ = conn.Read(make([]byte, 1))
+	}()
+	return ctx
+}
