--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -13,12 +13,17 @@
 
 var nextRequest atomic.Int64
 
+// commonPart is the part that the prompts of callers share if they name no other.
+const commonPart = 0x5c1e07a2
+
 // client is a caller with one kept connection to a router.
 type client struct {
 	d    *deployment
 	name string
 	conn net.Conn
 	br   *bufio.Reader
+	// part is the shared part of the prompts of this caller.
+	part int
 }
 
 func (d *deployment) dial(name, address string) (*client, error) {
@@ -26,7 +31,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &client{d: d, name: name, conn: conn, br: bufio.NewReader(conn)}, nil
+	return &client{d: d, name: name, conn: conn, br: bufio.NewReader(conn), part: commonPart}, nil
 }
 
 func (c *client) close() { _ = c.conn.Close() }
@@ -55,7 +60,7 @@
 	res := result{id: fmt.Sprintf("%s-%d", c.name, nextRequest.Add(1)), sentAt: time.Now()}
 	model := ""
 	if events > 0 {
-		model = fmt.Sprintf("X-Model: m\r\nX-Token-Usage: 1460,%d\r\nX-Prompt-Prefix: 5c1e07a2:800,%x:660\r\n", events, 0x1000+nextRequest.Load())
+		model = fmt.Sprintf("X-Model: m\r\nX-Token-Usage: 1460,%d\r\nX-Prompt-Prefix: %x:800,%x:660\r\n", events, c.part, 0x1000+nextRequest.Load())
 	}
 	body := "{}"
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: desk.example\r\nX-Attempt-Id: %s\r\n%sX-Deadline-Ms: %d\r\nAuthorization: Bearer key-1\r\nContent-Length: %d\r\n\r\n%s", path, res.id, model, limit.Milliseconds(), len(body), body)
--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -69,6 +69,8 @@
 	// front is the address for callers and ready that for the platform's question, for a
 	// router; address is that of a server.
 	front, ready, address string
+	// born is when a server was started, in milliseconds since the Unix epoch.
+	born int64
 }
 
 func (p *process) kill() {
@@ -106,7 +108,7 @@
 		return nil, err
 	}
 	cmd.Stdout = writer
-	p := &process{name: id}
+	p := &process{name: id, born: time.Now().UnixMilli()}
 	if err := d.start(p, cmd); err != nil {
 		return nil, err
 	}
@@ -135,7 +137,7 @@
 
 // setState writes a server's entry with a state.
 func (d *deployment) setState(p *process, service, state string) {
-	d.store.set("servers/"+p.name, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":64,"state":%q,"cold_left_ms":0,"seq":1}`, service, p.address, state))
+	d.store.set("servers/"+p.name, fmt.Sprintf(`{"service":%q,"address":%q,"zone":"a","version":"v1","slots":64,"state":%q,"cold_left_ms":0,"seq":1,"born":%d}`, service, p.address, state, p.born))
 	d.rec.logf("store", "servers/%s is %s at %s", p.name, state, p.address)
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -23,6 +23,7 @@
 var cases = map[string]caseFunc{
 	"leaving": playLeaving,
 	"sigterm": playSigterm,
+	"flap":    playFlap,
 }
 
 func main() {
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -30,8 +30,9 @@
 	flags := flag.NewFlagSet("server", flag.ExitOnError)
 	id := flags.String("id", "", "id of the server")
 	unframed := flags.Bool("unframed", false, "streams end with their connection")
+	address := flags.String("listen", "127.0.0.1:0", "address to listen on")
 	_ = flags.Parse(args)
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := net.Listen("tcp4", *address)
 	if err != nil {
 		fmt.Println("error", err)
 		os.Exit(1)
