--- a/review/standin/leaving.go
+++ b/review/standin/leaving.go
@@ -9,7 +9,10 @@
 
 const (
 	leavingServers = 4
-	leavingCallers = 12
+	leavingCallers = 240
+	// unframedEach is that one of so many streams of half of the servers has neither a
+	// length nor chunks: x = 0.05, share = 0.5.
+	unframedEach = "20"
 	// leavingEvents is the number of events of each stream, one each 0.1 s.
 	leavingEvents = 60
 	// spotNotice is the time from the notice that a server leaves until it is gone.
@@ -17,16 +20,23 @@
 )
 
 // playLeaving takes a server away at short notice: its entry says that it is draining, and
-// its process ends spotNotice later, while it still answers. Its streams have neither a
-// length nor chunks. Without the trouble the server ends once its streams have ended.
+// its process ends spotNotice later, while it still answers. Half of the servers send one of
+// twenty streams with neither a length nor chunks; the one that leaves is of these. Without
+// the trouble all streams have chunks, and the server ends once its streams have ended.
 func playLeaving(d *deployment, trouble bool) ([]string, error) {
-	servers := make([]*process, leavingServers)
-	for n := range servers {
-		p, err := d.startServer(fmt.Sprintf("i-%d", n+1), "desk", "-unframed")
+	var garbling []*process
+	for n := 1; n <= leavingServers; n++ {
+		var args []string
+		if trouble && n%2 == 0 {
+			args = []string{"-unframed-each", unframedEach}
+		}
+		p, err := d.startServer(fmt.Sprintf("i-%d", n), "desk", args...)
 		if err != nil {
 			return nil, err
 		}
-		servers[n] = p
+		if n%2 == 0 {
+			garbling = append(garbling, p)
+		}
 	}
 	d.setConfig(draftRoute)
 	r, err := d.startRouter("front-a-1", d.store.address())
@@ -41,6 +51,7 @@
 		if err != nil {
 			return nil, err
 		}
+		c.part = n + 1
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
@@ -49,7 +60,7 @@
 		}()
 	}
 	time.Sleep(time.Second)
-	leaving := d.busiest(servers)
+	leaving := d.busiest(garbling)
 	d.setState(leaving, "desk", "draining")
 	if trouble {
 		time.Sleep(spotNotice)
--- a/review/standin/server.go
+++ b/review/standin/server.go
@@ -22,9 +22,9 @@
 // writes to standard output what it runs.
 type server struct {
 	id string
-	// unframed makes streams have neither a length nor chunks: they end with their
-	// connection.
-	unframed bool
+	// unframedEach is that one of so many streams has neither a length nor chunks, so that
+	// it ends with its connection. It is zero for none.
+	unframedEach int
 	// burst is how many events are written at once, and spoilEach that one of so many
 	// streams has wrong bytes in an event, zero for none.
 	burst, spoilEach int
@@ -35,7 +35,7 @@
 func serverMain(args []string) {
 	flags := flag.NewFlagSet("server", flag.ExitOnError)
 	id := flags.String("id", "", "id of the server")
-	unframed := flags.Bool("unframed", false, "streams end with their connection")
+	unframedEach := flags.Int("unframed-each", 0, "one of so many streams ends with its connection")
 	burst := flags.Int("burst", 1, "events that are written at once")
 	spoilEach := flags.Int("spoil-each", 0, "one of so many streams has wrong bytes")
 	address := flags.String("listen", "127.0.0.1:0", "address to listen on")
@@ -46,7 +46,7 @@
 		os.Exit(1)
 	}
 	fmt.Println("address", l.Addr())
-	s := &server{id: *id, unframed: *unframed, burst: *burst, spoilEach: *spoilEach}
+	s := &server{id: *id, unframedEach: *unframedEach, burst: *burst, spoilEach: *spoilEach}
 	go func() { _ = http.Serve(l, http.HandlerFunc(s.serve)) }()
 	_, _ = io.Copy(io.Discard, os.Stdin)
 }
@@ -93,10 +93,13 @@
 
 // stream sends the events of a stream. Event n has the id n; the last one says so.
 func (s *server) stream(ctx context.Context, w http.ResponseWriter, r *http.Request, id string) {
+	count := int(s.streams.Add(1))
+	unframed := s.unframedEach > 0 && count%s.unframedEach == 0
 	var out io.Writer = w
 	flush := func() { _ = http.NewResponseController(w).Flush() }
 	w.Header().Set("Content-Type", "text/event-stream")
-	if s.unframed {
+	if unframed {
+		fmt.Printf("unframed %s\n", id)
 		conn, buf, err := http.NewResponseController(w).Hijack()
 		if err != nil {
 			return
@@ -116,7 +119,7 @@
 		first = last + 1
 	}
 	spoiled := 0
-	if s.spoilEach > 0 && s.streams.Add(1)%int64(s.spoilEach) == 0 {
+	if s.spoilEach > 0 && count%s.spoilEach == 0 {
 		spoiled = first + rand.IntN(total)
 	}
 	for n := first; n <= total; n++ {
@@ -140,7 +143,7 @@
 		case <-time.After(time.Duration(s.burst) * eventGap):
 		case <-ctx.Done():
 			fmt.Printf("dropped %s after event %d of %d\n", id, n, total)
-			if !s.unframed {
+			if !unframed {
 				panic(http.ErrAbortHandler)
 			}
 			return
