forwarder: the log of a stop tells its times and which requests it ended

Cause: of a request that a stop cut off the log told the ending and how long it had taken, but neither when the stop had begun nor whether the request had been read before or after. So the hypotheses on the users' LOST around SIGTERM could not be told apart: a request read long before that did not fit the grace period, or one taken late. Change: 'stopping' has the limit, 'callers' port closed' and 'stopped' are new lines with the time since the stop, the open connections and the number of requests that the stop ended; the line of a request that ends meanwhile has read_since_stop. Ruled out: a line for each request at its reading, which would double the log. TestStopIsLoggedWithTheRequestsThatItEnds.

--- a/forwarder/accesslog.go
+++ b/forwarder/accesslog.go
@@ -46,7 +46,11 @@
 // metrics.
 func (f *Forwarder) recordOutcome(c *call) {
 	now := clocker.Coarse()
-	outcome := c.outcome(f.requestCtx.Err() != nil)
+	endedByStop := f.requestCtx.Err() != nil
+	outcome := c.outcome(endedByStop)
+	if endedByStop && c.reason != "" {
+		f.state.stop.ended.Add(1)
+	}
 	f.metrics.outcomes.WithLabelValues(outcome).Inc()
 	f.metrics.duration.Observe(now.Sub(c.arrived).Seconds())
 	if c.firstByteAt > 0 {
@@ -72,6 +76,9 @@
 	if c.firstByteAt > 0 {
 		fields = append(fields, zap.Duration("first", c.firstByteAt.Sub(c.arrived)))
 	}
+	if f.state.stopping.Load() {
+		fields = append(fields, zap.Duration("read_since_stop", f.sinceStop(c.arrived)))
+	}
 	if c.reason != "" || c.connError != "" {
 		fields = append(fields, zap.String("reason", c.reason), zap.String("fault", c.connError))
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -211,8 +211,7 @@
 // stops. Callers whose requests are still in flight then are answered with what is
 // known about their requests, and Drain returns an error.
 func (f *Forwarder) Drain(ctx context.Context) error {
-	f.state.stopping.Store(true)
-	f.log.Info("stopping")
+	f.beginStop(ctx)
 	select {
 	case <-time.After(drainDelay):
 	case <-ctx.Done():
@@ -220,11 +219,13 @@
 	if err := f.listener.DrainAndClose(f.serveDone); err != nil {
 		f.log.Info("closing the callers' port failed", reporter.Error(err))
 	}
+	f.logStopStep("callers' port closed")
 	err := f.callers.Drain(ctx)
 	if err != nil {
 		f.cancelInFlight()
 	}
 	f.Stop()
+	f.logStopStep("stopped")
 	return errors.Wrap(err, "wait for requests in flight")
 }
 
--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -24,6 +24,7 @@
 	position atomic.Int64
 	// stopping is set when the process is about to stop.
 	stopping atomic.Bool
+	stop     stop
 
 	// mu guards the fields below.
 	mu            sync.Mutex
