forwarder: a stopping router refuses what it could not finish

Cause: Drain waits for connections to become idle, and ServeHTTP served whatever came on one that was not. Nothing compared the time left with the time that a request needs. A caller whose answer began before the stop was told nothing by which to go elsewhere. Change: routers keep the longest times of the complete answers of each kind of the last 30 to 60 s, to the first byte and per wanted token from there. While stopping, a request that needs more than is left (that and a quarter, or its time limit) is refused before it is sent: 503, not run, Connection: close, Retry-After. The same before it is sent again (502 if it may have run). Connection: close is decided when the head of an answer is written. Ruled out: refusing all after the port has closed turns away what fits (TestStoppingRouterServesWhatFits); closing a connection at the end of its answer crosses the caller's next request. Conclusion: fixed for requests that were read; bodies on their way and the product's own interface are next.

--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -27,6 +27,7 @@
 	reasonMemory = "There is no memory left for the body."
 	reasonTime   = "The time limit has passed."
 	reasonStops  = "This router stops."
+	reasonNoTime = "This router stops and could not finish the request."
 	// reasonBlocked and reasonTrial are followed by the part of the prompt.
 	reasonBlocked = "Targets crash under a part of this prompt: "
 	reasonTrial   = "A part of this prompt is suspected of crashing targets and being tried: "
@@ -93,6 +94,8 @@
 	switch {
 	case l.Reason == reasonStops:
 		return fmt.Sprintf("Its router stopped and could wait no longer; none of its %d sendings had been taken by a target, so it was not run.", l.Sends)
+	case l.Reason == reasonNoTime:
+		return "Its router was stopping and had too little time left for it, as others of its kind had taken longer" + readWhen(l) + "; it was not run."
 	case l.Reason == reasonShort:
 		return "Its router was short of processor time" + h.short(l) + ", and left it to others; it was not run."
 	case l.Reason == reasonStale:
@@ -120,11 +123,22 @@
 	return "It was refused: " + sentence(l.Reason) + " It was not run."
 }
 
+// readWhen says when a request was read, counted from the start of its router's stop.
+func readWhen(l *Line) string {
+	if l.ReadSinceStop >= 0 {
+		return fmt.Sprintf(" (it was read %s after the stop began)", l.ReadSinceStop)
+	}
+	return fmt.Sprintf(" (it was read %s before the stop began)", -l.ReadSinceStop)
+}
+
 // unknown says why nobody knows whether a request ran.
 func (h *History) unknown(l *Line) string {
 	if l.Reason == reasonStops {
 		return fmt.Sprintf("Its router stopped and could wait no longer; target %s had it and had not answered whole, so it may have run%s.", last(l), h.record(l))
 	}
+	if l.Reason == reasonNoTime {
+		return fmt.Sprintf("Target %s had it and gave no whole answer%s; it may have run, and its router was stopping and had too little time left to send it again%s.", last(l), inStep(l), h.record(l))
+	}
 	why := "gave no whole answer"
 	if l.Reason == reasonTime {
 		why = fmt.Sprintf("gave no whole answer before the time limit passed, after %s", l.Took)
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -37,6 +37,8 @@
 		"late":    "Target t2 had it and gave no whole answer before the time limit passed, after 600ms; it may have run, so it was not sent again.",
 		"stops":   "Its router stopped and could wait no longer; target t2 had it and had not answered whole, so it may have run.",
 		"unsent":  "Its router stopped and could wait no longer; none of its 0 sendings had been taken by a target, so it was not run.",
+		"nofit":   "Its router was stopping and had too little time left for it, as others of its kind had taken longer (it was read 4.5s after the stop began); it was not run.",
+		"nomore":  "Target t2 had it and gave no whole answer (EOF); it may have run, and its router was stopping and had too little time left to send it again.",
 		"denied":  "It was turned away for what it asked: The key is not valid.",
 		"blocked": "Targets had crashed under part 12ca9047f126 of its prompt, so that no request with it is sent (see 'part of prompts blocked').",
 		"trial":   "Part 12ca9047f126 of its prompt had been running where a target crashed, and another request with it was being tried; it was not run.",
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -38,9 +38,11 @@
 	Reason     string               `json:"reason"`
 	Fault      string               `json:"fault"`
 	Revision   identifier.Revision  `json:"revision"`
-	Strained   bool                 `json:"strained"`
-	LinesLost  int                  `json:"lines"`
-	tried      []identifier.Target
+	// ReadSinceStop is when it was read, counted from the start of its router's stop.
+	ReadSinceStop duration `json:"read_since_stop"`
+	Strained      bool     `json:"strained"`
+	LinesLost     int      `json:"lines"`
+	tried         []identifier.Target
 }
 
 // The messages that are looked at.
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -74,6 +74,7 @@
 
 // writeAnswer writes a complete answer to the caller.
 func (f *Forwarder) writeAnswer(c *call, a *exchanger.Answer, body []byte, failed bool) admitter.Result {
+	f.closeIfStopping(c.w.Header())
 	copyHeader(c.w.Header(), a.Header)
 	if c.r.Method != http.MethodHead {
 		c.w.Header().Set("Content-Length", strconv.Itoa(len(body)))
@@ -125,6 +126,7 @@
 		abortAnswer(c.r)
 	}
 	h := c.w.Header()
+	f.closeIfStopping(h)
 	h.Set("Content-Type", "text/plain; charset=utf-8")
 	if e.retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(float64(e.retryAfter)/float64(time.Second), 'f', 3, 64))
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -62,6 +62,7 @@
 
 // recordCompleted records that the caller of a request has received a complete answer.
 func (f *Forwarder) recordCompleted(c *call) {
+	f.recordDuration(clocker.Coarse(), c)
 	tokens := c.tokenCost()
 	if tokens == 0 {
 		return
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -21,6 +21,8 @@
 	info    RequestInfo
 	body    []byte
 	arrived identifier.Instant
+	// startedAt is when the request had been read and was first to be sent to a target.
+	startedAt identifier.Instant
 	// earliestArrival is the earliest instant at which the request may have arrived. It
 	// may have waited unread since then.
 	earliestArrival identifier.Instant
@@ -66,7 +68,7 @@
 	c := &call{w: w, r: r, arrived: clocker.Coarse(), seed: rand.Uint64(), memory: reservation{budget: &f.memory}}
 	c.earliestArrival = acceptor.EarliestRequestArrival(r, c.arrived)
 	defer c.memory.release()
-	if f.state.stopping.Load() || f.callers.NearLimit() || f.overload.closesConnections(c.arrived) {
+	if f.callers.NearLimit() || f.overload.closesConnections(c.arrived) {
 		w.Header().Set("Connection", "close")
 	}
 	c.info = f.cfg.Dialect.ReadRequest(r.Header)
@@ -174,6 +176,10 @@
 	}
 	c.pool = pool
 	now := clocker.Coarse()
+	c.startedAt = now
+	if e := f.checkTimeLeft(c); e != nil {
+		return e
+	}
 	f.countRequest(now, pool)
 	f.recordDemand(now, c)
 	for {
@@ -185,6 +191,9 @@
 		if done || e != nil {
 			return e
 		}
+		if e := f.checkTimeLeft(c); e != nil {
+			return e
+		}
 	}
 }
 
--- /dev/null
+++ b/forwarder/duration.go
@@ -0,0 +1,84 @@
+package forwarder
+
+import (
+	"sync"
+	"time"
+
+	"buckthorndrum/identifier"
+)
+
+// durationPeriod is the length of one period of durations. What is older than two periods
+// is forgotten.
+const durationPeriod = 30 * time.Second
+
+// durations holds how long the complete answers of each kind of request took of late. It is
+// safe for concurrent use.
+type durations struct {
+	mu sync.Mutex
+	// startedAt is when the current period began.
+	startedAt         identifier.Instant
+	current, previous map[identifier.Kind]answerTime
+}
+
+// answerTime holds the longest times of the answers to one kind of request.
+type answerTime struct {
+	// first is the longest time from the request to the first byte of its answer.
+	first time.Duration
+	// rest is the longest time from there to the end, of answers to requests that do not
+	// say how many tokens they want. hasRest is set if there was one.
+	rest    time.Duration
+	hasRest bool
+	// perToken is that time for each token that the request wants at most, of the
+	// others. hasPerToken is set if there was one.
+	perToken    time.Duration
+	hasPerToken bool
+}
+
+// longest returns the longest times of both.
+func (a answerTime) longest(b answerTime) answerTime {
+	return answerTime{
+		first: max(a.first, b.first),
+		rest:  max(a.rest, b.rest), hasRest: a.hasRest || b.hasRest,
+		perToken: max(a.perToken, b.perToken), hasPerToken: a.hasPerToken || b.hasPerToken,
+	}
+}
+
+// answerTimeOf returns the times of one answer to a request for at most tokens, zero if it
+// does not say.
+func answerTimeOf(first, rest time.Duration, tokens int) answerTime {
+	if tokens > 0 {
+		return answerTime{first: first, perToken: rest / time.Duration(tokens), hasPerToken: true}
+	}
+	return answerTime{first: first, rest: rest, hasRest: true}
+}
+
+// record records the times of a complete answer.
+func (d *durations) record(now identifier.Instant, kind identifier.Kind, a answerTime) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.current == nil || now.Sub(d.startedAt) >= durationPeriod {
+		d.previous, d.current, d.startedAt = d.current, map[identifier.Kind]answerTime{}, now
+	}
+	d.current[kind] = d.current[kind].longest(a)
+}
+
+// estimate returns how long the answer to a request for at most tokens would take, if it
+// took as long as the longest of late. ok is false if there was none to compare it with.
+func (d *durations) estimate(kind identifier.Kind, tokens int) (estimate time.Duration, ok bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	a := d.current[kind].longest(d.previous[kind])
+	if tokens > 0 {
+		return a.first + a.perToken*time.Duration(tokens), a.hasPerToken
+	}
+	return a.first + a.rest, a.hasRest
+}
+
+// recordDuration records how long a complete answer took.
+func (f *Forwarder) recordDuration(now identifier.Instant, c *call) {
+	first := c.firstByteAt
+	if first == 0 {
+		first = now
+	}
+	f.durations.record(now, c.route.Kind, answerTimeOf(first.Sub(c.startedAt), now.Sub(first), c.info.MaxOutputTokens))
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -97,6 +97,7 @@
 	memory    memoryBudget
 	metrics   *metrics
 	overload  overload
+	durations durations
 	log       *zap.Logger
 	ctx       context.Context
 	cancel    context.CancelFunc
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -48,3 +49,47 @@
 	f.log.Info(message, zap.Duration("since_stop", f.sinceStop(clocker.Now())), zap.Int("connections", f.callers.Count()),
 		zap.Int64("requests_ended", f.state.stop.ended.Load()))
 }
+
+// timeLeft returns for how long a stopping router still waits for requests. ok is false if
+// the router is not stopping, or waits without limit.
+func (f *Forwarder) timeLeft(now identifier.Instant) (left time.Duration, ok bool) {
+	if !f.state.stopping.Load() {
+		return 0, false
+	}
+	cutAt := f.state.stop.cutAt.Load()
+	return identifier.Instant(cutAt).Sub(now), cutAt != 0
+}
+
+// finishMargin is added to the time that a request is expected to need, as a part of it.
+const finishMargin = 0.25
+
+// timeNeeded returns the longest time that a request may still take. One of a kind that
+// was not answered of late may take until its deadline.
+func (f *Forwarder) timeNeeded(now identifier.Instant, c *call) time.Duration {
+	most := c.deadline.Sub(now)
+	estimate, ok := f.durations.estimate(c.route.Kind, c.info.MaxOutputTokens)
+	if !ok {
+		return most
+	}
+	return min(most, time.Duration((1+finishMargin)*float64(estimate)))
+}
+
+// checkTimeLeft returns an answer for a request that is about to be sent to a target, if
+// the router stops and would have to end it before it is done. A stream that has started
+// goes on as long as it can.
+func (f *Forwarder) checkTimeLeft(c *call) *errorAnswer {
+	now := clocker.Now()
+	left, ok := f.timeLeft(now)
+	if !ok || c.streamStarted() || f.timeNeeded(now, c) <= left {
+		return nil
+	}
+	return f.correctStatus(c, &errorAnswer{status: http.StatusServiceUnavailable, reason: "This router stops and could not finish the request.", retryAfter: minRetryAfter})
+}
+
+// closeIfStopping adds to the header of an answer that its connection is closed, if the
+// router is stopping.
+func (f *Forwarder) closeIfStopping(h http.Header) {
+	if f.state.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+}
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -15,6 +15,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+
+	"buckthorndrum/clocker"
 )
 
 // pacedEvents answers a stream with as many events as the request's Length header says, one
@@ -64,12 +66,12 @@
 	return callerAnswer{status: resp.StatusCode, header: resp.Header, body: string(body), truncated: err != nil, closing: resp.Close}
 }
 
-// stopLimit is the time that routers have to stop in these tests.
+// stopLimit is the time that a router has to stop in most of these tests.
 const stopLimit = 5500 * time.Millisecond
 
-// startDrain begins to stop the router.
-func (f *fleet) startDrain() (drained chan error) {
-	ctx, cancel := context.WithTimeout(context.Background(), stopLimit)
+// startDrain begins to stop the router, which has the time limit for it.
+func (f *fleet) startDrain(limit time.Duration) (drained chan error) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	f.t.Cleanup(cancel)
 	drained = make(chan error, 1)
 	go func() { drained <- f.Drain(ctx) }()
@@ -100,3 +102,118 @@
 	g.Expect(ended).To(HaveLen(1))
 	g.Expect(ended[0].ContextMap()["read_since_stop"]).To(BeNumerically("<", 0))
 }
+
+// endStreamsWhileStopping starts streams on kept connections, stops the router, and returns
+// the connections once the streams have ended, a little less than pause*n later. The
+// callers cannot know of the stop, as the heads of their answers came before it.
+func (f *fleet) endStreamsWhileStopping(g Gomega, conns int, path string, n int) (list []*keptConn, drained chan error) {
+	ended := make(chan callerAnswer, conns)
+	for range conns {
+		k := f.keep()
+		list = append(list, k)
+		go func() { ended <- k.send(http.MethodPost, path, fmt.Sprintf("Length: %d\r\n", n)) }()
+	}
+	eventually(f.t.(*testing.T), "streams have begun", func() bool { return len(f.requestsSeen()) == conns })
+	time.Sleep(150 * time.Millisecond)
+	drained = f.startDrain(stopLimit)
+	for range conns {
+		a := <-ended
+		g.Expect(a.truncated).To(BeFalse())
+		g.Expect(a.body).To(Equal(numberedEvents(1, n)))
+		g.Expect(a.closing).To(BeFalse())
+	}
+	return list, drained
+}
+
+// A request on a kept connection that a stopping router could not finish in the time that
+// it has left is refused as not run, and its connection is closed. It was passed on and cut
+// off half a second before the end of the grace period (LOST in review/2).
+func TestStoppingRouterRefusesWhatItCannotFinish(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, pacedEvents(100*time.Millisecond))
+	list, drained := f.endStreamsWhileStopping(g, 2, "/once/1", 38)
+	runs := len(f.requestsSeen())
+	a := list[0].send(http.MethodPost, "/once/2", "Length: 38\r\n")
+	g.Expect(a.truncated).To(BeFalse())
+	g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(a.body).To(Equal("This router stops and could not finish the request.\n"))
+	g.Expect(a.closing).To(BeTrue())
+	g.Expect(a.header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(f.requestsSeen()).To(HaveLen(runs), "not run")
+	_ = list[1].Close()
+	g.Eventually(drained, "3s").Should(Receive(BeNil()))
+}
+
+// A request that fits in the time that a stopping router has left is served, on a kept
+// connection too.
+func TestStoppingRouterServesWhatFits(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, pacedEvents(100*time.Millisecond))
+	g.Expect(f.send(f.request(http.MethodGet, "/lookup/1", "")).status).To(Equal(http.StatusOK))
+	f.mu.Lock()
+	f.received = nil
+	f.mu.Unlock()
+	list, drained := f.endStreamsWhileStopping(g, 1, "/once/1", 38)
+	a := list[0].send(http.MethodGet, "/lookup/2", "")
+	g.Expect(a.body).To(Equal("whole"))
+	g.Expect(a.closing).To(BeTrue())
+	g.Eventually(drained, "3s").Should(Receive(BeNil()))
+}
+
+// A request whose target failed is not sent again by a router that stops and could not
+// finish it: its caller, who may repeat it, is told at once.
+func TestStoppingRouterDoesNotRetryWhatItCannotFinish(t *testing.T) {
+	g := NewWithT(t)
+	release := make(chan struct{})
+	f := newFleet(t, completeAnswer)
+	g.Expect(f.send(f.request(http.MethodGet, "/lookup/1", "")).status).To(Equal(http.StatusOK))
+	f.durations.record(clocker.Now(), "/lookup/", answerTimeOf(stopLimit, 0, 0))
+	f.targets = nil
+	failing := firstThen(func(w net.Conn, r *http.Request) bool {
+		<-release
+		return resetConn(w, r)
+	}, completeAnswer)
+	f.addTarget("t1", failing)
+	f.addTarget("t2", failing)
+	answers := make(chan callerAnswer, 1)
+	go func() { answers <- f.keep().send(http.MethodGet, "/lookup/2", "") }()
+	eventually(t, "request arrives", func() bool { return len(f.requestsSeen()) == 2 })
+	_ = f.startDrain(2 * time.Second)
+	eventually(t, "router stops", func() bool { return !f.Ready(clocker.Now()) })
+	close(release)
+	a := <-answers
+	g.Expect(a.status).To(Equal(http.StatusBadGateway), "it may have run")
+	g.Expect(a.closing).To(BeTrue())
+	g.Expect(f.requestsSeen()).To(HaveLen(2))
+}
+
+// Times of answers are those of the longest of late, for each token where the request says
+// how many it wants, and are forgotten after two periods without one.
+func TestEstimateOfDurations(t *testing.T) {
+	g := NewWithT(t)
+	var d durations
+	now := clocker.Now()
+	_, ok := d.estimate("k", 0)
+	g.Expect(ok).To(BeFalse(), "nothing is known yet")
+	d.record(now, "k", answerTimeOf(100*time.Millisecond, time.Second, 10))
+	d.record(now, "k", answerTimeOf(300*time.Millisecond, time.Second, 20))
+	estimate, ok := d.estimate("k", 40)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(estimate).To(Equal(4300 * time.Millisecond))
+	_, ok = d.estimate("k", 0)
+	g.Expect(ok).To(BeFalse(), "no such request was answered yet")
+	_, ok = d.estimate("other", 40)
+	g.Expect(ok).To(BeFalse())
+	now = now.Add(durationPeriod)
+	d.record(now, "other", answerTimeOf(time.Second, 2*time.Second, 0))
+	estimate, ok = d.estimate("k", 10)
+	g.Expect(ok).To(BeTrue(), "of the period before")
+	g.Expect(estimate).To(Equal(1300 * time.Millisecond))
+	now = now.Add(durationPeriod)
+	d.record(now, "other", answerTimeOf(time.Second, time.Second, 0))
+	_, ok = d.estimate("k", 10)
+	g.Expect(ok).To(BeFalse(), "forgotten")
+	estimate, ok = d.estimate("other", 0)
+	g.Expect(ok).To(BeTrue())
+	g.Expect(estimate).To(Equal(3 * time.Second))
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -131,6 +131,7 @@
 	f.recordFirstByte(c, t)
 	if c.stream.writes == 0 {
 		c.status = a.Status
+		f.closeIfStopping(c.w.Header())
 		copyHeader(c.w.Header(), a.Header)
 		c.w.WriteHeader(a.Status)
 	}
