forwarder: a stop answers requests whose bodies have not come

Callers saw: nothing; found by reading the ways to a stopping router. A caller whose body is still on its way when the router can wait no longer gets a closed connection and no answer. Cause: the requests in flight are ended by their context, which does not end a read of a body. Change: the end of that context expires the read deadline, and the request is answered as one that a stop ends: 503, not run, with Retry-After and Connection: close. Ruled out: a read deadline at the end of the stop for each body, which would have to be set for bodies that began before it. Before: TestStopAnswersRequestWhoseBodyHasNotCome: unexpected EOF. After: passes, as do the other tests of bodies. Conclusion: fixed.

--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"context"
 	"net/http"
 	"os"
 	"time"
@@ -14,6 +15,9 @@
 // sets none.
 const defaultMaxBody = 8 << 20
 
+// pastDeadline is a deadline that has passed.
+var pastDeadline = time.Unix(1, 0)
+
 // readBody reads the body of a request into c.body before the request's deadline. It
 // returns an answer for the caller if the body is too large, does not arrive in time or
 // cannot be read.
@@ -30,9 +34,12 @@
 	}
 	rc := http.NewResponseController(c.w)
 	_ = rc.SetReadDeadline(time.Now().Add(c.deadline.Sub(clocker.Coarse())))
+	// A read is not ended by its context.
+	stop := context.AfterFunc(f.requestCtx, func() { _ = rc.SetReadDeadline(pastDeadline) })
+	defer stop()
 	body, err := c.memory.readAll(c.r.Body, c.r.ContentLength, limit)
 	if err != nil {
-		return bodyErrorAnswer(c, err)
+		return f.bodyErrorAnswer(c, err)
 	}
 	_ = rc.SetReadDeadline(time.Time{})
 	c.body = body
@@ -41,10 +48,12 @@
 
 // bodyErrorAnswer returns the answer for a request whose body could not be read. It has
 // the caller's connection closed, since it cannot be reused.
-func bodyErrorAnswer(c *call, err error) *errorAnswer {
+func (f *Forwarder) bodyErrorAnswer(c *call, err error) *errorAnswer {
 	c.recordConnError(err)
 	c.w.Header().Set("Connection", "close")
 	switch {
+	case f.requestCtx.Err() != nil:
+		return f.timeoutAnswer(c)
 	case errors.Is(err, errBodyTooLong):
 		return &errorAnswer{status: http.StatusRequestEntityTooLarge, reason: "The body is too large."}
 	case errors.Is(err, errNoMemory):
