forwarder: a stream's position moves only with what was written

Cause: relayEvents moved the position event by event and wrote once for all events of a read. An event out of order ended it before the write: those before it in the same read counted as delivered, and the stream was resumed behind them. Evidence: in each broken stream the missing event is the one right before the wrong one, of the same write, and the second server was sent its number as the last. Change: the position moves in a copy; what is in order is written, then the copy takes effect, then the event out of order ends the attempt. Ruled out: that the second server skips an event (it is sent the missing one's number), and that a part of a read is dropped (nothing behind the wrong event is missing). Before: TestEventsReadWithAWrongOneAreNotLost fails in all four ways.

--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 
 	"github.com/pkg/errors"
 
@@ -15,11 +14,7 @@
 
 // stream is how much of a stream of events the caller has received.
 type stream struct {
-	// lastID is the ID of the last event, empty if the events have none.
-	lastID string
-	// lastNumber is lastID as a number, valid if hasNumber is set.
-	lastNumber int64
-	hasNumber  bool
+	position
 	// writes counts the writes of events to the caller.
 	writes int
 }
@@ -33,6 +28,9 @@
 // relayStream passes the events of a stream on as they come. It writes complete events
 // only.
 func (f *Forwarder) relayStream(ctx context.Context, c *call, t *selectedTarget, a *exchanger.Answer) (admitter.Result, *errorAnswer) {
+	if c.stream == nil {
+		c.stream = &stream{position: startPosition(c.info.LastEventID)}
+	}
 	pending := &eventBuffer{memory: &c.memory}
 	watch := f.watchStall(c, a)
 	defer watch.stop()
@@ -93,36 +91,36 @@
 }
 
 // relayEvents writes the complete events in pending to the caller, without those that
-// it already has.
+// it already has. If one of them is out of order, it writes those before it and returns
+// errMissingEvent. The stream's position moves only with what was written.
 func (f *Forwarder) relayEvents(c *call, t *selectedTarget, a *exchanger.Answer, pending *eventBuffer, watch *stallWatch) error {
 	defer pending.compact()
-	unsent := pending.consumed
-	for {
-		eventStart := pending.consumed
-		event := pending.next()
-		if event == nil {
-			break
+	next := c.stream.position
+	start, end := pending.consumed, pending.consumed
+	var orderErr error
+	for event := pending.next(); event != nil; event = pending.next() {
+		isNew, err := next.accept(event)
+		if err == nil && !isNew && end > start {
+			err = errMissingEvent
 		}
-		isNew, err := c.acceptEvent(event)
 		if err != nil {
-			return err
-		}
-		if !isNew && eventStart > unsent {
-			return errMissingEvent
+			orderErr = err
+			break
 		}
+		end = pending.consumed
 		if !isNew {
-			unsent = pending.consumed
+			start = end
 		} else if hasContent(event) {
 			watch.recordEvent()
 		}
 	}
-	if pending.consumed == unsent {
-		return nil
-	}
-	if err := f.writeEvents(c, t, a, pending.data[unsent:pending.consumed]); err != nil {
-		return errCallerGone
+	if end > start {
+		if err := f.writeEvents(c, t, a, pending.data[start:end]); err != nil {
+			return errCallerGone
+		}
 	}
-	return nil
+	c.stream.position = next
+	return orderErr
 }
 
 // writeEvents writes events to the caller, before the first of them the answer's
@@ -167,30 +165,3 @@
 
 // streamStarted reports whether the caller has received a part of a stream.
 func (c *call) streamStarted() bool { return c.stream != nil && c.stream.writes > 0 }
-
-// acceptEvent records an event of the stream. isNew is false if the caller already has
-// the event. The error is errMissingEvent if an event before it is missing.
-func (c *call) acceptEvent(event []byte) (isNew bool, err error) {
-	id, ok := eventID(event)
-	if c.stream == nil {
-		c.stream = &stream{}
-		if n, err := strconv.ParseInt(c.info.LastEventID, 10, 64); err == nil {
-			c.stream.lastNumber, c.stream.hasNumber = n, true
-		}
-	}
-	s := c.stream
-	if !ok {
-		return true, nil
-	}
-	n, parseErr := strconv.ParseInt(id, 10, 64)
-	if parseErr == nil && s.hasNumber {
-		if n <= s.lastNumber {
-			return false, nil
-		}
-		if n > s.lastNumber+1 {
-			return false, errMissingEvent
-		}
-	}
-	s.lastID, s.lastNumber, s.hasNumber = id, n, parseErr == nil
-	return true, nil
-}
