forwarder: events of one attempt follow each other without a gap

A stream whose last event has a wrong, lower number and comes in a read of its own looks complete without that event; one whose first event has a number far ahead looks complete with that event alone. Cause: an event with a number at or below the last one was taken for a repetition wherever it came first in a read, so that what a stream means depended on how its bytes were divided. Change: eventOrder keeps the position of the attempt beside that of the stream. An attempt may repeat what the caller has only at its start, and its events follow each other. A stream is not complete while its attempt repeats, nor resumed behind a first event whose number nothing confirms; if the caller does not have that event yet, the request is sent again from the start. Ruled out: holding each event back until the next one confirms it, which would delay the first. Conclusion: fixed for streams with numbers; events without an ID are next.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -157,10 +157,10 @@
 }
 
 // repeatable reports whether the request may run once more. A stream that has started
-// can only be resumed after an event with an ID.
+// can only be resumed behind an event whose ID is known to be right.
 func (c *call) repeatable() bool {
 	if c.streamStarted() {
-		return c.route.Resumable && c.stream.lastID != ""
+		return c.route.Resumable && c.stream.resumable()
 	}
 	return c.route.Repeatable || (c.route.Stream && c.route.Resumable)
 }
--- a/forwarder/errors.go
+++ b/forwarder/errors.go
@@ -6,7 +6,7 @@
 	// errCallerGone means that the caller has disconnected or that the request's time
 	// limit has passed.
 	errCallerGone = errors.New("caller is gone")
-	// errMissingEvent means that a stream skips an event or repeats one after new ones.
+	// errMissingEvent means that an event of a stream does not follow the one before it.
 	errMissingEvent = errors.New("stream lacks an event")
 	// errTargetEnded means that the end of an answer that has no length is that of its
 	// target, so that a part of it may be missing.
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -40,7 +40,7 @@
 	h.Del("Content-Length")
 	h.Del("Authorization")
 	lastEventID := c.info.LastEventID
-	if c.streamStarted() && c.stream.lastID != "" {
+	if c.streamStarted() {
 		lastEventID = c.stream.lastID
 	}
 	f.cfg.Dialect.WriteRequest(h, Attempt{Target: t.choice.Target, Workspace: c.workspace, Remaining: c.deadline.Sub(clocker.Now()), LastEventID: lastEventID})
--- a/forwarder/order_test.go
+++ b/forwarder/order_test.go
@@ -65,3 +65,45 @@
 		})
 	}
 }
+
+// A stream in which a number comes out of order does not look complete, even if the wrong
+// event is the first or the last one and is read alone: it goes on at another target behind
+// the last event in order, or is broken off. Events with lower numbers were left out as
+// repetitions, so that a stream could look complete without its last event.
+func TestWrongEventReadAloneIsNotTakenForARepetition(t *testing.T) {
+	resumed := numberedEvents(1, 9)
+	for _, c := range []struct {
+		name   string
+		pieces []string
+		// body is what the caller gets, which is complete if it is resumed.
+		body string
+	}{
+		{"last", []string{numberedEvents(1, 8), wrongEvent(9, "3")}, resumed},
+		{"in the middle", []string{numberedEvents(1, 2), wrongEvent(3, "1"), numberedEvents(4, 9)}, resumed},
+		{"twice", []string{numberedEvents(1, 2), numberedEvents(2, 2), numberedEvents(3, 9)}, resumed},
+		{"no number", []string{numberedEvents(1, 2), wrongEvent(3, "x3"), numberedEvents(4, 9)}, resumed},
+		{"first, read with the second", []string{wrongEvent(1, "901") + numberedEvents(2, 9)}, resumed},
+		{"first", []string{wrongEvent(1, "901"), numberedEvents(2, 9)}, wrongEvent(1, "901")},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := NewWithT(t)
+			a, _ := sendStream(t, reads(true, c.pieces...), events(9, true, ""))
+			g.Expect(a.body).To(Equal(c.body))
+			g.Expect(a.truncated).To(Equal(c.body != resumed))
+		})
+	}
+}
+
+// A target that goes on from the start of a stream, in spite of the last event's ID, repeats
+// events that the caller has. They are left out, and the stream is not complete before
+// events follow that it does not have.
+func TestRepeatedStartOfAStreamIsLeftOut(t *testing.T) {
+	g := NewWithT(t)
+	first := reads(false, numberedEvents(1, 5))
+	a, _ := sendStream(t, first, reads(true, numberedEvents(1, 3), numberedEvents(4, 9)))
+	g.Expect(a.truncated).To(BeFalse())
+	g.Expect(a.body).To(Equal(numberedEvents(1, 9)))
+	a, _ = sendStream(t, first, reads(true, numberedEvents(1, 3)))
+	g.Expect(a.truncated).To(BeTrue())
+	g.Expect(a.body).To(Equal(numberedEvents(1, 5)))
+}
--- a/forwarder/position.go
+++ b/forwarder/position.go
@@ -9,8 +9,14 @@
 	// lastNumber is the number of the last event, valid if hasNumber is set.
 	lastNumber int64
 	hasNumber  bool
+	// confirmed is set if another event or the caller confirms lastNumber, or if it is
+	// the usual number of a first event.
+	confirmed bool
 }
 
+// maxFirstNumber is the highest usual number of the first event of a stream.
+const maxFirstNumber = 1
+
 // startPosition returns the position behind the event that the caller has received last,
 // empty if it has none.
 func startPosition(lastEventID string) position {
@@ -18,26 +24,60 @@
 	if err != nil {
 		return position{}
 	}
-	return position{lastNumber: n, hasNumber: true}
+	return position{lastNumber: n, hasNumber: true, confirmed: true}
+}
+
+// resumable reports whether a stream can go on behind the position at another target.
+func (p position) resumable() bool { return p.lastID != "" && p.confirmed }
+
+// follows reports whether an event with number n may come right behind the position.
+func (p position) follows(n int64) bool { return !p.hasNumber || n == p.lastNumber+1 }
+
+// eventOrder checks the order of the events of one attempt. They start at or before the
+// position of the stream, and follow each other without a gap.
+type eventOrder struct {
+	// position is the position of the stream. It moves with new events only.
+	position
+	// attempt is the position of the attempt, behind its last event.
+	attempt position
 }
 
-// accept moves the position behind an event. isNew is false if the event is not behind the
-// position, and the error is errMissingEvent if an event before it is missing. The position
-// stays as it is in both cases.
-func (p *position) accept(event []byte) (isNew bool, err error) {
+// accept moves the positions behind an event. isNew is false if the caller has the event.
+// The error is errMissingEvent, and nothing moves, if the event does not follow the one
+// before it.
+func (o *eventOrder) accept(event []byte) (isNew bool, err error) {
 	id, ok := eventID(event)
 	if !ok {
-		return true, nil
+		return !o.repeats(), nil
 	}
 	n, parseErr := strconv.ParseInt(id, 10, 64)
-	if parseErr == nil && p.hasNumber {
-		if n <= p.lastNumber {
-			return false, nil
-		}
-		if n > p.lastNumber+1 {
-			return false, errMissingEvent
-		}
+	if parseErr != nil {
+		return true, o.acceptUnordered(id)
+	}
+	tooHigh := o.hasNumber && n > o.lastNumber+1
+	if !o.attempt.follows(n) || !o.attempt.hasNumber && tooHigh {
+		return false, errMissingEvent
 	}
-	p.lastID, p.lastNumber, p.hasNumber = id, n, parseErr == nil
+	next := position{lastID: id, lastNumber: n, hasNumber: true, confirmed: o.hasNumber || n <= maxFirstNumber}
+	o.attempt = next
+	if o.hasNumber && n <= o.lastNumber {
+		return false, nil
+	}
+	o.position = next
 	return true, nil
 }
+
+// acceptUnordered moves the position behind an event whose ID is not a number. It may not
+// be among events with numbers.
+func (o *eventOrder) acceptUnordered(id string) error {
+	if o.hasNumber {
+		return errMissingEvent
+	}
+	o.position = position{lastID: id, confirmed: true}
+	return nil
+}
+
+// repeats reports whether the events that come next are still some that the caller has.
+func (o *eventOrder) repeats() bool {
+	return o.attempt.hasNumber && o.attempt.lastNumber < o.lastNumber
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -31,6 +31,7 @@
 	if c.stream == nil {
 		c.stream = &stream{position: startPosition(c.info.LastEventID)}
 	}
+	order := &eventOrder{position: c.stream.position}
 	pending := &eventBuffer{memory: &c.memory}
 	watch := f.watchStall(c, a)
 	defer watch.stop()
@@ -40,14 +41,14 @@
 		if memErr := pending.add(buf[:n]); memErr != nil {
 			err = memErr
 		}
-		if relayErr := f.relayEvents(c, t, a, pending, watch); relayErr != nil {
+		if relayErr := f.relayEvents(c, t, a, pending, order, watch); relayErr != nil {
 			a.Abort()
 			return f.afterRelayError(ctx, c, t, relayErr)
 		}
 		if err == nil && len(pending.data) <= maxEventBytes {
 			continue
 		}
-		complete := errors.Is(err, io.EOF) && pending.empty() && c.streamStarted()
+		complete := errors.Is(err, io.EOF) && pending.empty() && c.streamStarted() && !order.repeats()
 		if complete && f.endedWithTarget(t, a) {
 			complete, err = false, errTargetEnded
 		}
@@ -93,16 +94,13 @@
 // relayEvents writes the complete events in pending to the caller, without those that
 // it already has. If one of them is out of order, it writes those before it and returns
 // errMissingEvent. The stream's position moves only with what was written.
-func (f *Forwarder) relayEvents(c *call, t *selectedTarget, a *exchanger.Answer, pending *eventBuffer, watch *stallWatch) error {
+func (f *Forwarder) relayEvents(c *call, t *selectedTarget, a *exchanger.Answer, pending *eventBuffer, order *eventOrder, watch *stallWatch) error {
 	defer pending.compact()
-	next := c.stream.position
+	next := *order
 	start, end := pending.consumed, pending.consumed
 	var orderErr error
 	for event := pending.next(); event != nil; event = pending.next() {
 		isNew, err := next.accept(event)
-		if err == nil && !isNew && end > start {
-			err = errMissingEvent
-		}
 		if err != nil {
 			orderErr = err
 			break
@@ -114,12 +112,16 @@
 			watch.recordEvent()
 		}
 	}
+	if orderErr != nil && !next.confirmed {
+		// The event that is wrong may be the one before.
+		return orderErr
+	}
 	if end > start {
 		if err := f.writeEvents(c, t, a, pending.data[start:end]); err != nil {
 			return errCallerGone
 		}
 	}
-	c.stream.position = next
+	*order, c.stream.position = next, next.position
 	return orderErr
 }
 
