forwarder: a stream is not resumed behind an event without an ID

An event with data but no ID that comes behind the last numbered one comes twice if the stream then breaks off and is resumed: the other target goes on behind the last ID. Cause: a position knew only events with IDs. Change: a position knows that such an event came behind it, and a stream is not resumed there until an event with an ID follows. Comments don't count. Ruled out: breaking off each stream with such an event; most don't break off there. Before: TestStreamIsNotResumedBehindEventWithoutID: the body is complete, with the event twice. After: passes, as do all tests of the package. Conclusion: fixed.

--- a/forwarder/order_test.go
+++ b/forwarder/order_test.go
@@ -107,3 +107,17 @@
 	g.Expect(a.truncated).To(BeTrue())
 	g.Expect(a.body).To(Equal(numberedEvents(1, 5)))
 }
+
+// A stream is not resumed behind an event without an ID: the other target would send that
+// event again. One behind the next event with an ID is.
+func TestStreamIsNotResumedBehindEventWithoutID(t *testing.T) {
+	g := NewWithT(t)
+	const plain = "data: x\n\n"
+	a, requests := sendStream(t, reads(false, numberedEvents(1, 3), plain), events(9, true, ""))
+	g.Expect(a.truncated).To(BeTrue())
+	g.Expect(a.body).To(Equal(numberedEvents(1, 3) + plain))
+	g.Expect(requests).To(HaveLen(1))
+	a, _ = sendStream(t, reads(false, numberedEvents(1, 3), plain, numberedEvents(4, 4), ": comment\n\n"), events(9, true, ""))
+	g.Expect(a.truncated).To(BeFalse())
+	g.Expect(a.body).To(Equal(numberedEvents(1, 3) + plain + numberedEvents(4, 4) + ": comment\n\n" + numberedEvents(5, 9)))
+}
--- a/forwarder/position.go
+++ b/forwarder/position.go
@@ -12,6 +12,9 @@
 	// confirmed is set if another event or the caller confirms lastNumber, or if it is
 	// the usual number of a first event.
 	confirmed bool
+	// hasUnnumbered is set if an event with content but without an ID came behind the
+	// last event. Another target would send it again.
+	hasUnnumbered bool
 }
 
 // maxFirstNumber is the highest usual number of the first event of a stream.
@@ -28,7 +31,7 @@
 }
 
 // resumable reports whether a stream can go on behind the position at another target.
-func (p position) resumable() bool { return p.lastID != "" && p.confirmed }
+func (p position) resumable() bool { return p.lastID != "" && p.confirmed && !p.hasUnnumbered }
 
 // follows reports whether an event with number n may come right behind the position.
 func (p position) follows(n int64) bool { return !p.hasNumber || n == p.lastNumber+1 }
@@ -47,8 +50,12 @@
 // before it.
 func (o *eventOrder) accept(event []byte) (isNew bool, err error) {
 	id, ok := eventID(event)
+	if !ok && o.repeats() {
+		return false, nil
+	}
 	if !ok {
-		return !o.repeats(), nil
+		o.hasUnnumbered = o.hasUnnumbered || hasContent(event)
+		return true, nil
 	}
 	n, parseErr := strconv.ParseInt(id, 10, 64)
 	if parseErr != nil {
