acceptor: a request that is read while its connection is closed is not cancelled

Callers saw: requests that end without an answer around a SIGTERM, and now and then when a connection has been idle for too long. Cause: CloseIdle listed the idle connections and then expired their read deadlines one after the other. A request that was read in between was being served by then, and the server takes a deadline that expires for the end of the connection and cancels the request. A body that came after its head could not be read either. Change: a connection is looked at and its deadline expired under the lock under which the server reports a request, and a request that was read before has the deadline lifted. Ruled out: closing the connection instead, which would lose the answer, too.

--- a/acceptor/conntracker.go
+++ b/acceptor/conntracker.go
@@ -26,6 +26,9 @@
 	idleSince map[net.Conn]identifier.Instant
 	// newConns holds the connections on which nothing has been received yet.
 	newConns map[net.Conn]bool
+	// unread holds the connections that are not read any more, so that the server closes
+	// them.
+	unread map[net.Conn]bool
 }
 
 // newConnGrace is how long a new connection may be without a request before it counts as
@@ -36,11 +39,12 @@
 // has no bound if maxConns is zero. It does not refuse connections; see NearLimit and
 // CloseIdle.
 func NewConnTracker(maxConns int) *ConnTracker {
-	return &ConnTracker{maxConns: maxConns, idleSince: map[net.Conn]identifier.Instant{}, newConns: map[net.Conn]bool{}}
+	return &ConnTracker{maxConns: maxConns, idleSince: map[net.Conn]identifier.Instant{}, newConns: map[net.Conn]bool{}, unread: map[net.Conn]bool{}}
 }
 
 // SetState records the state of a connection. It is used as the ConnState hook of an
-// http.Server.
+// http.Server. A connection on which a request was read is read again until the request has
+// its answer, even if CloseIdle has begun to close it.
 func (s *ConnTracker) SetState(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -49,9 +53,13 @@
 	} else {
 		delete(s.newConns, c)
 	}
+	defer delete(s.unread, c)
 	switch state {
 	case http.StateActive:
 		s.idleSince[c] = 0
+		if s.unread[c] {
+			_ = c.SetReadDeadline(time.Time{})
+		}
 	case http.StateNew, http.StateIdle:
 		s.idleSince[c] = clocker.Coarse()
 	case http.StateClosed, http.StateHijacked:
@@ -94,16 +102,23 @@
 // have received anything that was not read.
 func (s *ConnTracker) CloseIdle(now identifier.Instant, idleTimeout time.Duration) {
 	for _, c := range s.idleToClose(now, idleTimeout) {
-		if peekInput(c) == noInput {
-			stopReading(c)
-		}
+		s.stopReading(c)
 	}
 }
 
-// stopReading makes the server close a connection by expiring its read deadline. If the
-// server has already read a request that it has not reported by ConnState yet, it can
-// still answer it: only further reads fail.
-func stopReading(c net.Conn) { _ = c.SetReadDeadline(pastDeadline) }
+// stopReading makes the server close a connection by expiring its read deadline, unless
+// something has arrived on it meanwhile. If the server has already read a request that it
+// has not reported by ConnState yet, it can still answer it. It takes an expired deadline
+// for the end of the connection once it serves a request, so that both happen in turn.
+func (s *ConnTracker) stopReading(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.idleSince[c] == 0 || peekInput(c) != noInput {
+		return
+	}
+	s.unread[c] = true
+	_ = c.SetReadDeadline(pastDeadline)
+}
 
 // pastDeadline is a deadline that has passed.
 var pastDeadline = time.Unix(1, 0)
--- a/acceptor/conntracker_test.go
+++ b/acceptor/conntracker_test.go
@@ -4,7 +4,10 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -127,3 +130,60 @@
 	s.SetState(c, http.StateClosed)
 	g.Expect(s.newConns).To(BeEmpty())
 }
+
+// Requests are served to their end even if they are read at the moment at which their idle
+// connections are closed. The server took a read deadline that expired just after for the
+// end of the connection, and cancelled the request.
+func TestRequestsReadWhileTheirConnectionsAreClosedAreServed(t *testing.T) {
+	g := NewWithT(t)
+	s := NewConnTracker(0)
+	var served, cancelled atomic.Int64
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		served.Add(1)
+		select {
+		case <-r.Context().Done():
+			cancelled.Add(1)
+		case <-time.After(time.Millisecond):
+		}
+	}))
+	server.Config.ConnState = s.SetState
+	server.Start()
+	defer server.Close()
+	ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
+	defer cancel()
+	var wait sync.WaitGroup
+	for range 40 {
+		wait.Go(func() {
+			client := &http.Client{Transport: &http.Transport{}}
+			for ctx.Err() == nil {
+				if resp, err := client.Get(server.URL); err == nil {
+					_ = resp.Body.Close()
+				}
+			}
+		})
+	}
+	for ctx.Err() == nil {
+		s.CloseIdle(clocker.Now().Add(time.Minute), 0)
+	}
+	wait.Wait()
+	g.Expect(served.Load()).To(BeNumerically(">", 1000))
+	g.Expect(cancelled.Load()).To(BeZero(), "of %d", served.Load())
+}
+
+// The body of such a request is read, too, if it comes after its head.
+func TestBodyAfterItsConnectionWasClosedIsRead(t *testing.T) {
+	g := NewWithT(t)
+	caller, c := connPair(t)
+	s := NewConnTracker(0)
+	s.SetState(c, http.StateIdle)
+	s.CloseIdle(clocker.Now().Add(time.Second), 0)
+	s.SetState(c, http.StateActive)
+	_, _ = caller.Write([]byte("body"))
+	n, err := c.Read(make([]byte, 4))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(n).To(Equal(4))
+	s.SetState(c, http.StateIdle)
+	s.CloseIdle(clocker.Now().Add(time.Second), 0)
+	_, err = c.Read(make([]byte, 1))
+	g.Expect(err).To(MatchError(os.ErrDeadlineExceeded), "and then it is closed")
+}
