router: a stop answers the requests that it can no longer wait for

A request still in progress at the end of the grace period got a closed connection or a stream without an end, though its router knew that it may have run. Cause: Drain closed all connections at once when its time was over. Change: the requests' parent context ends first, so that each is answered with what is known (outcome unknown, or not run while it waits for a target), and Drain waits 0.2 s for that. Ruled out: the agent, whose answers are kept and can be fetched.

--- a/router/router.go
+++ b/router/router.go
@@ -61,6 +61,10 @@
 	done   chan struct{}
 	ctx    context.Context
 	cancel context.CancelFunc
+	// requestCtx is the parent context of all requests. cancelRequests ends it, so that
+	// each request in progress is answered at once with what is known about it.
+	requestCtx     context.Context
+	cancelRequests context.CancelFunc
 }
 
 // Start starts a router: it opens the router's port, serves callers and operators, links
@@ -85,7 +89,7 @@
 		return nil, errors.Wrap(err, "build router handler")
 	}
 	r.listener = port
-	r.server = &http.Server{Handler: r.closeWhenDraining(h), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, ConnState: r.connections.SetState}
+	r.server = &http.Server{Handler: r.closeWhenDraining(h), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, ConnState: r.connections.SetState, BaseContext: func(net.Listener) context.Context { return r.requestCtx }}
 	go r.serve()
 	go r.loop()
 	go r.watchConfig()
@@ -120,6 +124,7 @@
 	r.metrics = newMetrics(r)
 	r.dialer = linker.NewDialer(security, string(cfg.Name), r.hello, &r.traffic)
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.requestCtx, r.cancelRequests = context.WithCancel(context.Background())
 	return r
 }
 
@@ -261,8 +266,9 @@
 
 // Drain refuses new requests, waits until those in progress have their answers or ctx is
 // done, and then stops the router. Calls that have already come to its port, even on
-// connections that are not yet accepted, get a response. Drain returns the first error
-// of these steps.
+// connections that are not yet accepted, get a response. So do the requests still in
+// progress when ctx is done: what is known about them. Drain returns the first error of
+// these steps.
 func (r *Router) Drain(ctx context.Context) error {
 	r.state.mu.Lock()
 	r.state.stopping = true
@@ -272,13 +278,31 @@
 	if leaveErr := r.listener.DrainAndClose(r.serveDone); err == nil {
 		err = leaveErr
 	}
-	if leaveErr := r.connections.Drain(ctx); err == nil {
-		err = leaveErr
+	if leaveErr := r.connections.Drain(ctx); leaveErr != nil {
+		r.endRequests()
+		if err == nil {
+			err = leaveErr
+		}
 	}
 	r.Stop()
 	return err
 }
 
+// finalAnswerTimeout is how long a stopping router takes to answer the requests that it can
+// no longer wait for.
+const finalAnswerTimeout = 200 * time.Millisecond
+
+// endRequests ends the requests in progress and waits until their callers have been
+// answered, for finalAnswerTimeout at most.
+func (r *Router) endRequests() {
+	r.cancelRequests()
+	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTimeout)
+	defer cancel()
+	if err := r.connections.Drain(ctx); err != nil {
+		r.log.Warn("requests in progress were cut off", reporter.Error(err))
+	}
+}
+
 // idlePollInterval is how often a draining router checks whether it is idle.
 const idlePollInterval = 10 * time.Millisecond
 
@@ -302,6 +326,7 @@
 // Stop stops the router at once, like a crash: it closes all connections and links.
 func (r *Router) Stop() {
 	r.cancel()
+	r.cancelRequests()
 	_ = r.server.Close()
 	r.state.mu.Lock()
 	for _, a := range r.state.agents {
