router: a change that was overtaken is a conflict, not a store that is behind

Cause: changeConfig compared the stored head with the revision in force after it had read the head. The other change could come in force between the two. Change: the revision in force is taken before the read. The swap finds what comes after it. Ruled out: nothing else reads the two in this order.

--- a/router/store.go
+++ b/router/store.go
@@ -154,12 +154,14 @@
 func (r *Router) changeConfig(ctx context.Context, expected identifier.Revision, doc configurator.Document, operator string) (identifier.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, changeTimeout)
 	defer cancel()
+	// Another change may come in force after the read. The swap finds it.
+	inForce := r.Revision()
 	head, v, err := r.storedHead(ctx)
 	if err != nil {
 		return 0, err
 	}
-	if head.Revision < r.Revision() {
-		return 0, ErrStoreBehind{Stored: head.Revision, InForce: r.Revision()}
+	if head.Revision < inForce {
+		return 0, ErrStoreBehind{Stored: head.Revision, InForce: inForce}
 	}
 	if head.Revision != expected {
 		return 0, configurator.ConflictError{Expected: expected, Actual: head.Revision}
