forwarder: the test of proofs makes its first change before it observes

Cause, traced in the review: the observer could run before the first change, when the configuration is revision 1 and the test asks for revision 10 at least. The test was wrong, and the code is not at fault. Change: revision 10 and its proof are in force before the observer begins.

--- a/forwarder/proof_test.go
+++ b/forwarder/proof_test.go
@@ -66,6 +66,9 @@
 	r := f.request(http.MethodGet, "/open/1", "")
 	r.RequestURI = "/open/1"
 	violations := 0
+	// The observer may run before the first change.
+	f.configure(first)
+	f.ConfirmFreshness(base, first)
 	runConcurrently(func(n int) {
 		f.configure(identifier.Revision(first + n))
 		f.ConfirmFreshness(base.Add(time.Duration(n)*time.Second), int64(first+n))
