forwarder: few answers say little of how long the next one takes

Callers would see: a request on a kept connection that a stopping router takes and cuts off, though less often than before. Cause: the longest of a kind's answers of late counted from the first answer on. The few of that kind before it had been shorter, and the quarter to spare did not make up for it. Change: half of the longest time to spare, and ten times it divided by the number of answers. Before: TestStoppingRouterDoesNotRelyOnFewAnswers: the answer is truncated. Conclusion: fixed as far as an estimate can; a kind whose answers differ much may still be cut.

--- a/forwarder/duration.go
+++ b/forwarder/duration.go
@@ -25,21 +25,21 @@
 	// first is the longest time from the request to the first byte of its answer.
 	first time.Duration
 	// rest is the longest time from there to the end, of answers to requests that do not
-	// say how many tokens they want. hasRest is set if there was one.
-	rest    time.Duration
-	hasRest bool
+	// say how many tokens they want. rests is their number.
+	rest  time.Duration
+	rests int
 	// perToken is that time for each token that the request wants at most, of the
-	// others. hasPerToken is set if there was one.
-	perToken    time.Duration
-	hasPerToken bool
+	// others. perTokens is their number.
+	perToken  time.Duration
+	perTokens int
 }
 
 // longest returns the longest times of both.
 func (a answerTime) longest(b answerTime) answerTime {
 	return answerTime{
 		first: max(a.first, b.first),
-		rest:  max(a.rest, b.rest), hasRest: a.hasRest || b.hasRest,
-		perToken: max(a.perToken, b.perToken), hasPerToken: a.hasPerToken || b.hasPerToken,
+		rest:  max(a.rest, b.rest), rests: a.rests + b.rests,
+		perToken: max(a.perToken, b.perToken), perTokens: a.perTokens + b.perTokens,
 	}
 }
 
@@ -47,9 +47,9 @@
 // does not say.
 func answerTimeOf(first, rest time.Duration, tokens int) answerTime {
 	if tokens > 0 {
-		return answerTime{first: first, perToken: rest / time.Duration(tokens), hasPerToken: true}
+		return answerTime{first: first, perToken: rest / time.Duration(tokens), perTokens: 1}
 	}
-	return answerTime{first: first, rest: rest, hasRest: true}
+	return answerTime{first: first, rest: rest, rests: 1}
 }
 
 // record records the times of a complete answer.
@@ -62,16 +62,28 @@
 	d.current[kind] = d.current[kind].longest(a)
 }
 
-// estimate returns how long the answer to a request for at most tokens would take, if it
-// took as long as the longest of late. ok is false if there was none to compare it with.
+const (
+	// spareTime is added to the longest time of late, as a part of it.
+	spareTime = 0.5
+	// spareTimeOfFew, divided by the number of answers, is added as well: the longest of few
+	// tells little of the next one.
+	spareTimeOfFew = 10.0
+)
+
+// estimate returns how long the answer to a request for at most tokens may take, judged by
+// the longest of late. ok is false if there was none.
 func (d *durations) estimate(kind identifier.Kind, tokens int) (estimate time.Duration, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	a := d.current[kind].longest(d.previous[kind])
+	longest, answers := a.first+a.rest, a.rests
 	if tokens > 0 {
-		return a.first + a.perToken*time.Duration(tokens), a.hasPerToken
+		longest, answers = a.first+a.perToken*time.Duration(tokens), a.perTokens
+	}
+	if answers == 0 {
+		return 0, false
 	}
-	return a.first + a.rest, a.hasRest
+	return time.Duration((1 + spareTime + spareTimeOfFew/float64(answers)) * float64(longest)), true
 }
 
 // recordDuration records how long a complete answer took.
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -60,9 +60,6 @@
 	return identifier.Instant(cutAt).Sub(now), cutAt != 0
 }
 
-// finishMargin is added to the time that a request is expected to need, as a part of it.
-const finishMargin = 0.25
-
 // timeNeeded returns the longest time that a request may still take. One of a kind that
 // was not answered of late may take until its deadline.
 func (f *Forwarder) timeNeeded(now identifier.Instant, c *call) time.Duration {
@@ -71,7 +68,7 @@
 	if !ok {
 		return most
 	}
-	return min(most, time.Duration((1+finishMargin)*float64(estimate)))
+	return min(most, estimate)
 }
 
 // checkTimeLeft returns an answer for a request that is about to be sent to a target, if
