--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -253,3 +253,23 @@
 	g.Expect(ok).To(BeTrue())
 	g.Expect(estimate).To(BeNumerically("~", (1.5+10.0/101)*3*float64(time.Second), float64(time.Millisecond)))
 }
+
+// A request whose body has not come when a stopping router can wait no longer is answered
+// as not run. Its connection was closed without an answer.
+func TestStopAnswersRequestWhoseBodyHasNotCome(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, completeAnswer)
+	k := f.keep()
+	_, _ = io.WriteString(k, "POST /ticket/1 HTTP/1.1\r\nHost: desk\r\nId: id1\r\nKey: k\r\nContent-Length: 10\r\n\r\nx")
+	eventually(t, "request is being read", func() bool { return f.callers.Count() == 1 })
+	time.Sleep(50 * time.Millisecond)
+	drained := f.startDrain(200 * time.Millisecond)
+	resp, err := http.ReadResponse(k.br, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = resp.Body.Close() }()
+	g.Expect(resp.StatusCode).To(Equal(http.StatusServiceUnavailable))
+	g.Expect(resp.Header.Get("Retry-After")).NotTo(BeEmpty())
+	g.Expect(resp.Close).To(BeTrue())
+	g.Eventually(drained, "3s").Should(Receive())
+	g.Expect(f.requestsSeen()).To(BeEmpty())
+}
