forwarder: a stopping router takes no stream late that it is not certain to finish

Cause: what a stopping router takes was decided by an estimate, the longest complete answer of its kind of late with some to spare. Of answers that differ much (48.6 pieces in the mean, 159 at most), or right after a start, when only the short ones are complete, the next one can be longer than any estimate allows. The class: a promise (graceful stops cut nothing off) that is kept by a guess.

Evidence: TestStoppingRouterCutsOffNoStreamThatCameLate: 30 answers of 0.25 s, then on a kept connection 3.7 s after the stop a stream of 3.8 s.

Change: from half a second before its port closes (signals may be handled late) a stopping router takes a stream, or a request that may not run again, only if its deadline is before the router's end. A request that may run again and whose answer is passed on whole is still taken by the estimate: if that fails, its caller gets an answer that says so. Before the port is closed nothing changes: callers are still sent there.

Ways weighed: no late request at all (turns away short and repeatable ones, and those whose time limit fits); certainty from the SIGTERM on (all long streams would be turned away for 3 s, by all routers of a data centre that stop in turn); a better estimate alone (still a guess).

--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -98,7 +98,7 @@
 	case l.Reason == reasonStops:
 		return fmt.Sprintf("Its router stopped and could wait no longer; none of its %d sendings had been taken by a target, so it was not run.", l.Sends)
 	case l.Reason == reasonNoTime:
-		return "Its router was stopping and had too little time left for it, as others of its kind had taken longer" + readWhen(l) + "; it was not run."
+		return "Its router was stopping and had too little time left for it" + needed(l) + readWhen(l) + "; it was not run."
 	case l.Reason == reasonShort:
 		return "Its router was short of processor time" + h.short(l) + ", and left it to others; it was not run."
 	case l.Reason == reasonStale:
@@ -126,6 +126,14 @@
 	return "It was refused: " + sentence(l.Reason) + " It was not run."
 }
 
+// needed says by what a stopping router judged how long a request might take.
+func needed(l *Line) string {
+	if l.TimeNeeded > 0 && !l.Estimated {
+		return fmt.Sprintf(", as its time limit was %s away", l.TimeNeeded)
+	}
+	return ", as others of its kind had taken longer"
+}
+
 // readWhen says when a request was read, counted from the start of its router's stop.
 func readWhen(l *Line) string {
 	if l.ReadSinceStop >= 0 {
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -79,12 +79,27 @@
 	return append(fields, zap.Duration("time_left", s.left), zap.Duration("time_needed", s.needed), zap.Bool("estimated", s.estimated))
 }
 
+// signalDelay is how much later than it was sent a signal may be handled.
+const signalDelay = 500 * time.Millisecond
+
+// mustFit reports whether a stopping router may take a request only if its deadline is
+// before the router's end. A request that comes once callers are no longer sent to the
+// router has others that are sure to finish it. A repeatable one whose answer is passed on
+// whole is still taken by an estimate, as its caller is answered in any case.
+func (f *Forwarder) mustFit(now identifier.Instant, c *call) bool {
+	if f.sinceStop(now) < drainDelay-signalDelay {
+		return false
+	}
+	return c.route.Stream || !c.route.Repeatable
+}
+
 // timeNeeded returns the longest time that a request may still take, and whether that is
-// estimated. One of a kind that was not answered of late may take until its deadline.
+// estimated. One that must fit, or of a kind that was not answered of late, may take until
+// its deadline.
 func (f *Forwarder) timeNeeded(now identifier.Instant, c *call) (needed time.Duration, estimated bool) {
 	most := c.deadline.Sub(now)
 	estimate, ok := f.durations.estimate(c.route.Kind, c.info.MaxOutputTokens)
-	if !ok || estimate >= most {
+	if !ok || estimate >= most || f.mustFit(now, c) {
 		return most, false
 	}
 	return estimate, true
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -194,6 +195,37 @@
 	g.Eventually(drained, "3s").Should(Receive(BeNil()))
 }
 
+// Once its port is closed, a stopping router takes a stream, or a request that may not run
+// again, only if its deadline is before the router's end, however short others of its kind
+// were. A longer one was cut off in the middle (LOST around a SIGTERM, ndtra-baling).
+func TestStoppingRouterCutsOffNoStreamThatCameLate(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, pacedEvents(100*time.Millisecond))
+	paths := []string{"/once/2", "/stream/2", "/ticket/2"}
+	for _, kind := range []identifier.Kind{"/once/", "/stream/", "/ticket/"} {
+		for range 30 {
+			f.durations.record(clocker.Now(), kind, answerTimeOf(50*time.Millisecond, 200*time.Millisecond, 0))
+		}
+	}
+	list, drained := f.endStreamsWhileStopping(g, len(paths)+1, "/open/1", 38)
+	runs := len(f.requestsSeen())
+	answers := make([]callerAnswer, len(paths))
+	var wait sync.WaitGroup
+	for i, path := range paths {
+		wait.Go(func() { answers[i] = list[i].send(http.MethodPost, path, "Length: 38\r\n") })
+	}
+	wait.Wait()
+	for i, a := range answers {
+		g.Expect(a.truncated).To(BeFalse(), paths[i])
+		g.Expect(a.status).To(Equal(http.StatusServiceUnavailable), paths[i])
+		g.Expect(a.closing).To(BeTrue(), paths[i])
+	}
+	g.Expect(f.requestsSeen()).To(HaveLen(runs), "not run")
+	a := list[len(paths)].send(http.MethodPost, "/once/3", "Length: 3\r\nPatience: 1000\r\n")
+	g.Expect(a.body).To(Equal(numberedEvents(1, 3)), "its time limit fits")
+	g.Eventually(drained, "3s").Should(Receive(BeNil()))
+}
+
 // A request whose target failed is not sent again by a router that stops and could not
 // finish it: its caller, who may repeat it, is told at once.
 func TestStoppingRouterDoesNotRetryWhatItCannotFinish(t *testing.T) {
