forwarder: the estimate of a stop knows answers that did not end

What callers saw: a stream that was sent just after the SIGTERM was taken by a router that could not finish it, though others of its kind had lasted longer than the grace period.

Cause: how long answers take was learned from complete ones only. What its time limit or its caller ended had lasted longer than all that was learned, and was left out: survivors.

Change: an answer that had begun when its caller left, its time limit passed or the router stopped counts with the time that it had lasted. It does not add to the number of answers that makes the estimate surer.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -51,8 +51,11 @@
 	}
 	result, e = f.relayAnswer(ctx, c, t, a)
 	done = e == nil && result != resultRetry
-	if done {
+	switch {
+	case done:
 		f.recordCompleted(c)
+	case ctx.Err() != nil:
+		f.recordUnfinished(clocker.Coarse(), c)
 	}
 	if done && result == admitter.Answered && c.status == http.StatusOK {
 		t.outcome = isolator.Answered
--- a/forwarder/duration.go
+++ b/forwarder/duration.go
@@ -11,8 +11,8 @@
 // is forgotten.
 const durationPeriod = 30 * time.Second
 
-// durations holds how long the complete answers of each kind of request took of late. It is
-// safe for concurrent use.
+// durations holds how long the answers to each kind of request took of late. It is safe for
+// concurrent use.
 type durations struct {
 	mu sync.Mutex
 	// startedAt is when the current period began.
@@ -25,11 +25,11 @@
 	// first is the longest time from the request to the first byte of its answer.
 	first time.Duration
 	// rest is the longest time from there to the end, of answers to requests that do not
-	// say how many tokens they want. rests is their number.
+	// say how many tokens they want. rests is the number of those that were complete.
 	rest  time.Duration
 	rests int
 	// perToken is that time for each token that the request wants at most, of the
-	// others. perTokens is their number.
+	// others. perTokens is the number of those that were complete.
 	perToken  time.Duration
 	perTokens int
 }
@@ -52,7 +52,15 @@
 	return answerTime{first: first, rest: rest, rests: 1}
 }
 
-// record records the times of a complete answer.
+// unfinishedTimeOf returns the times of an answer that was ended before it was complete. It
+// would have taken longer, and is not counted.
+func unfinishedTimeOf(first, rest time.Duration, tokens int) answerTime {
+	a := answerTimeOf(first, rest, tokens)
+	a.rests, a.perTokens = 0, 0
+	return a
+}
+
+// record records the times of an answer.
 func (d *durations) record(now identifier.Instant, kind identifier.Kind, a answerTime) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -86,6 +94,14 @@
 	return time.Duration((1 + spareTime + spareTimeOfFew/float64(answers)) * float64(longest)), true
 }
 
+// recordUnfinished records how long an answer took that had begun when its caller left, its
+// time limit passed or the router stopped.
+func (f *Forwarder) recordUnfinished(now identifier.Instant, c *call) {
+	if c.firstByteAt > 0 {
+		f.durations.record(now, c.route.Kind, unfinishedTimeOf(c.firstByteAt.Sub(c.startedAt), now.Sub(c.firstByteAt), c.info.MaxOutputTokens))
+	}
+}
+
 // recordDuration records how long a complete answer took.
 func (f *Forwarder) recordDuration(now identifier.Instant, c *call) {
 	first := c.firstByteAt
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -270,6 +270,39 @@
 	g.Eventually(drained, "3s").Should(Receive())
 }
 
+// An answer that its time limit or its caller ended before it was complete would have taken
+// longer, so that the estimate knows it too. Without it the longest answers are those that
+// nobody has seen the end of, and the next of them was taken by a stopping router.
+func TestEstimateKnowsAnswersThatDidNotEnd(t *testing.T) {
+	for name, end := range map[string]func(f *fleet, k *keptConn){
+		"time limit": func(_ *fleet, k *keptConn) {
+			k.send(http.MethodPost, "/once/1", "Length: 50\r\nPatience: 600\r\n")
+		},
+		"caller leaves": func(f *fleet, k *keptConn) {
+			go k.send(http.MethodPost, "/once/1", "Length: 50\r\n")
+			eventually(f.t.(*testing.T), "request arrives", func() bool { return len(f.requestsSeen()) == 1 })
+			time.Sleep(600 * time.Millisecond)
+			_ = k.Close()
+			time.Sleep(200 * time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t, pacedEvents(100*time.Millisecond))
+			for range 30 {
+				f.durations.record(clocker.Now(), "/once/", answerTimeOf(50*time.Millisecond, 200*time.Millisecond, 0))
+			}
+			end(f, f.keep())
+			drained := f.startDrain(900 * time.Millisecond)
+			eventually(t, "router stops", func() bool { return !f.Ready(clocker.Now()) })
+			a := f.keep().send(http.MethodPost, "/once/2", "Length: 20\r\n")
+			g.Expect(a.truncated).To(BeFalse())
+			g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+			g.Eventually(drained, "3s").Should(Receive())
+		})
+	}
+}
+
 // The estimate is the longest time of late, for each token where the request says how many
 // it wants, with half of it to spare, and more if there were few answers. Times are
 // forgotten after two periods.
