forwarder: the test of late streams does not cross the close of its connections

TestStoppingRouterCutsOffNoStreamThatCameLate failed in one of four plays: `/ticket/2 Expected true to be false`. It waited for four streams before it sent the next request on each connection; a stopping router closes connections that are idle, every 20 ms, so that the request came after the close and was not read. Each next request is now sent before the stream ahead of it ends. The checks are the same, and one more: what fits by its time limit has run, the others have not.

--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -58,7 +58,16 @@
 // send sends a request with additional header fields, each ended by a line break, and
 // returns its answer.
 func (k *keptConn) send(method, path, header string) callerAnswer {
+	k.write(method, path, header)
+	return k.read()
+}
+
+func (k *keptConn) write(method, path, header string) {
 	_, _ = fmt.Fprintf(k, "%s %s HTTP/1.1\r\nHost: desk\r\nId: id1\r\nKey: k\r\n%s\r\n", method, path, header)
+}
+
+// read returns the next answer.
+func (k *keptConn) read() callerAnswer {
 	resp, err := http.ReadResponse(k.br, nil)
 	if err != nil {
 		return callerAnswer{truncated: true}
@@ -201,28 +210,44 @@
 func TestStoppingRouterCutsOffNoStreamThatCameLate(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t, pacedEvents(100*time.Millisecond))
-	paths := []string{"/once/2", "/stream/2", "/ticket/2"}
 	for _, kind := range []identifier.Kind{"/once/", "/stream/", "/ticket/"} {
 		for range 30 {
 			f.durations.record(clocker.Now(), kind, answerTimeOf(50*time.Millisecond, 200*time.Millisecond, 0))
 		}
 	}
-	list, drained := f.endStreamsWhileStopping(g, len(paths)+1, "/open/1", 38)
-	runs := len(f.requestsSeen())
-	answers := make([]callerAnswer, len(paths))
+	type lateRequest struct{ path, header string }
+	late := []lateRequest{
+		{"/once/2", "Length: 38\r\n"}, {"/stream/2", "Length: 38\r\n"}, {"/ticket/2", "Length: 38\r\n"},
+		{"/once/3", "Length: 3\r\nPatience: 1000\r\n"},
+	}
+	// Each follows a stream that lasts until the port is closed. It is sent before that
+	// stream ends, so that it does not cross the router's close.
+	var conns []*keptConn
+	for _, r := range late {
+		k := f.keep()
+		k.write(http.MethodPost, "/open/1", "Length: 38\r\n")
+		k.write(http.MethodPost, r.path, r.header)
+		conns = append(conns, k)
+	}
+	eventually(t, "streams have begun", func() bool { return len(f.requestsSeen()) == len(late) })
+	time.Sleep(150 * time.Millisecond)
+	drained := f.startDrain(stopLimit)
+	answers := make([]callerAnswer, len(late))
 	var wait sync.WaitGroup
-	for i, path := range paths {
-		wait.Go(func() { answers[i] = list[i].send(http.MethodPost, path, "Length: 38\r\n") })
+	for i, k := range conns {
+		wait.Go(func() {
+			g.Expect(k.read().body).To(Equal(numberedEvents(1, 38)))
+			answers[i] = k.read()
+		})
 	}
 	wait.Wait()
-	for i, a := range answers {
-		g.Expect(a.truncated).To(BeFalse(), paths[i])
-		g.Expect(a.status).To(Equal(http.StatusServiceUnavailable), paths[i])
-		g.Expect(a.closing).To(BeTrue(), paths[i])
+	for i, r := range late[:3] {
+		g.Expect(answers[i].truncated).To(BeFalse(), r.path)
+		g.Expect(answers[i].status).To(Equal(http.StatusServiceUnavailable), r.path)
+		g.Expect(answers[i].closing).To(BeTrue(), r.path)
 	}
-	g.Expect(f.requestsSeen()).To(HaveLen(runs), "not run")
-	a := list[len(paths)].send(http.MethodPost, "/once/3", "Length: 3\r\nPatience: 1000\r\n")
-	g.Expect(a.body).To(Equal(numberedEvents(1, 3)), "its time limit fits")
+	g.Expect(answers[3].body).To(Equal(numberedEvents(1, 3)), "its time limit fits")
+	g.Expect(f.requestsSeen()).To(HaveLen(len(late)+1), "the others have not run")
 	g.Eventually(drained, "3s").Should(Receive(BeNil()))
 }
 
