--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -301,10 +301,10 @@
 func TestEstimateKnowsAnswersThatDidNotEnd(t *testing.T) {
 	for name, end := range map[string]func(f *fleet, k *keptConn){
 		"time limit": func(_ *fleet, k *keptConn) {
-			k.send(http.MethodPost, "/once/1", "Length: 50\r\nPatience: 600\r\n")
+			k.send(http.MethodPost, "/once/1", "Length: 100\r\nPatience: 600\r\n")
 		},
 		"caller leaves": func(f *fleet, k *keptConn) {
-			go k.send(http.MethodPost, "/once/1", "Length: 50\r\n")
+			go k.send(http.MethodPost, "/once/1", "Length: 100\r\n")
 			eventually(f.t.(*testing.T), "request arrives", func() bool { return len(f.requestsSeen()) == 1 })
 			time.Sleep(600 * time.Millisecond)
 			_ = k.Close()
@@ -313,14 +313,14 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
-			f := newFleet(t, pacedEvents(100*time.Millisecond))
+			f := newFleet(t, pacedEvents(50*time.Millisecond))
 			for range 30 {
 				f.durations.record(clocker.Now(), "/once/", answerTimeOf(50*time.Millisecond, 200*time.Millisecond, 0))
 			}
 			end(f, f.keep())
 			drained := f.startDrain(900 * time.Millisecond)
 			eventually(t, "router stops", func() bool { return !f.Ready(clocker.Now()) })
-			a := f.keep().send(http.MethodPost, "/once/2", "Length: 20\r\n")
+			a := f.keep().send(http.MethodPost, "/once/2", "Length: 40\r\n")
 			g.Expect(a.truncated).To(BeFalse())
 			g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
 			g.Eventually(drained, "3s").Should(Receive())
