acceptor: closing a connection does not take the end of an answer with it

Callers that had sent more than their request (an empty line, the next request) and got an answer with Connection: close, as a stopping router gives, lost its end: status and head came, then a reset. The log said "answered".

Cause: a socket that is closed with unread input is reset, and what is still in its send buffer is dropped. net/http reads one byte ahead, so that a second one is enough.

Close now reads what has come, without waiting, and then closes. That ends the connection behind the answer. What arrives later than that still resets it. The reset of an interrupted HTTP/1.0 answer no longer depends on the type of the connection.

--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -61,6 +61,14 @@
 	return c != nil && peekInput(c) == closedInput
 }
 
+// ResetOnClose makes the connection of a request be reset when it is closed, so that an
+// answer without a length does not look complete.
+func ResetOnClose(r *http.Request) {
+	if c, ok := Connection(r).(interface{ SetLinger(sec int) error }); ok {
+		_ = c.SetLinger(0)
+	}
+}
+
 // unreadInput is the kind of input that a connection has received but that was not read
 // yet.
 type unreadInput int
@@ -100,3 +108,35 @@
 	}
 	return found
 }
+
+// acceptedConn is a connection of a Listener. Its Close discards what has been received and
+// not read: closing a socket with unread input resets its connection, which drops what its
+// peer has not received yet, such as the end of an answer.
+type acceptedConn struct{ *net.TCPConn }
+
+// maxDiscarded is how much unread input is discarded at most, in bytes.
+const maxDiscarded = 1 << 20
+
+// Close implements net.Conn.
+func (c *acceptedConn) Close() error {
+	discardInput(c.TCPConn)
+	return c.TCPConn.Close()
+}
+
+// discardInput reads what a connection has received, without waiting for more.
+func discardInput(c syscall.Conn) {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Control(func(fd uintptr) {
+		var b [4 << 10]byte
+		for discarded := 0; discarded < maxDiscarded; {
+			n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_DONTWAIT)
+			if n <= 0 && !errors.Is(err, syscall.EINTR) {
+				return
+			}
+			discarded += max(n, 0)
+		}
+	})
+}
--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -51,14 +51,15 @@
 	if p.closing.Load() {
 		_ = p.SetDeadline(time.Now().Add(queueEmptyAfter))
 	}
-	c, err := p.TCPListener.Accept()
+	c, err := p.AcceptTCP()
 	if err != nil && p.closing.Load() {
 		return nil, net.ErrClosed
 	}
-	if err == nil {
-		p.backlog.accepted(clocker.Coarse(), p.hasPending)
+	if err != nil {
+		return nil, err
 	}
-	return c, err
+	p.backlog.accepted(clocker.Coarse(), p.hasPending)
+	return &acceptedConn{c}, nil
 }
 
 // EarliestArrival returns since when the accept queue has been continuously non-empty,
--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
 	"strings"
@@ -116,8 +115,8 @@
 // An HTTP/1.0 answer may end where its connection is closed, so that connection is
 // reset instead.
 func abortAnswer(r *http.Request) {
-	if tcp, ok := acceptor.Connection(r).(*net.TCPConn); ok && !r.ProtoAtLeast(1, 1) {
-		_ = tcp.SetLinger(0)
+	if !r.ProtoAtLeast(1, 1) {
+		acceptor.ResetOnClose(r)
 	}
 	panic(http.ErrAbortHandler)
 }
--- /dev/null
+++ b/forwarder/stop_paths_test.go
@@ -0,0 +1,63 @@
+package forwarder
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"buckthorndrum/clocker"
+)
+
+// largeAnswer answers once release is closed, with more than the callers' kernels take in at
+// once.
+func largeAnswer(size int, release chan struct{}) script {
+	body := strings.Repeat("x", size)
+	return func(w net.Conn, r *http.Request) bool {
+		<-release
+		reply(w, r, http.StatusOK, "Seal: s\r\n", body)
+		return true
+	}
+}
+
+// read reads the answer to a request that was sent before.
+func (k *keptConn) read() callerAnswer {
+	resp, err := http.ReadResponse(k.br, nil)
+	if err != nil {
+		return callerAnswer{truncated: true}
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	return callerAnswer{status: resp.StatusCode, header: resp.Header, body: string(body), truncated: err != nil, closing: resp.Close}
+}
+
+// The end of an answer was lost to a reset where its caller had sent more than the request:
+// a stopping router closes the connection with those bytes unread.
+func TestStoppingRouterEndsAnswersBeforeUnreadInput(t *testing.T) {
+	for name, input := range map[string]string{"empty line": "\r\n", "next request": "GET /lookup/2 HTTP/1.1\r\nHost: desk\r\nId: id2\r\nKey: k\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			release := make(chan struct{})
+			const size = 2 << 20
+			f := newFleet(t, largeAnswer(size, release))
+			k := f.keep()
+			_, _ = io.WriteString(k, "POST /ticket/1 HTTP/1.1\r\nHost: desk\r\nId: id1\r\nKey: k\r\n\r\n")
+			eventually(t, "request arrives", func() bool { return len(f.requestsSeen()) == 1 })
+			drained := f.startDrain(time.Second)
+			eventually(t, "router stops", func() bool { return !f.Ready(clocker.Now()) })
+			_, _ = io.WriteString(k, input)
+			time.Sleep(50 * time.Millisecond)
+			close(release)
+			time.Sleep(200 * time.Millisecond)
+			a := k.read()
+			g.Expect(a.truncated).To(BeFalse())
+			g.Expect(a.body).To(HaveLen(size))
+			g.Expect(a.closing).To(BeTrue())
+			g.Eventually(drained, "3s").Should(Receive())
+		})
+	}
+}
