forwarder: an HTTP/1.0 stream that a stop cuts does not look complete

A caller by HTTP/1.0 that read slowly while the router stopped got 2.8 of 3.1 MB of its stream and then an ordinary end of its connection, which is how a whole stream ends there.

Cause: interrupted HTTP/1.0 answers are reset by the request's goroutine. A stream whose write waits for its caller does not get there: the write ends only when the server closes all connections, 200 ms after the end of the grace period, and then it is too late for a reset.

The connection is set to be reset as soon as the stop ends the requests in flight, while the stream is being passed on.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -121,6 +121,16 @@
 	panic(http.ErrAbortHandler)
 }
 
+// resetWhenCut makes the connection of an HTTP/1.0 stream be reset if the router ends it
+// while a write to its caller waits. It returns a function that ends this.
+func (f *Forwarder) resetWhenCut(r *http.Request) (stop func()) {
+	if r.ProtoAtLeast(1, 1) {
+		return func() {}
+	}
+	end := context.AfterFunc(f.requestCtx, func() { acceptor.ResetOnClose(r) })
+	return func() { end() }
+}
+
 // writeError answers a request that no target answered. If the answer has already
 // started, it is cut off so that it does not look complete.
 func (f *Forwarder) writeError(c *call, e errorAnswer) {
--- a/forwarder/stop_paths_test.go
+++ b/forwarder/stop_paths_test.go
@@ -61,3 +61,26 @@
 		})
 	}
 }
+
+// A stream that a stopping router cuts off while its HTTP/1.0 caller reads slowly looked
+// complete: the connection ended as if the stream had.
+func TestStopResetsHTTP10StreamOfSlowCaller(t *testing.T) {
+	g := NewWithT(t)
+	const size = 8 << 20
+	f := newFleet(t, func(w net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(w, "HTTP/1.1 200 x\r\nId: "+r.Header.Get("Id")+"\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n")
+		event := "data: " + strings.Repeat("x", 1<<10) + "\n\n"
+		for range size >> 10 {
+			writeChunk(w, event)
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+		return true
+	})
+	k := f.keep()
+	_, _ = io.WriteString(k, "POST /once/1 HTTP/1.0\r\nHost: desk\r\nId: id1\r\nKey: k\r\n\r\n")
+	eventually(t, "request arrives", func() bool { return len(f.requestsSeen()) == 1 })
+	g.Eventually(f.startDrain(300*time.Millisecond), "3s").Should(Receive())
+	n, err := io.Copy(io.Discard, k)
+	g.Expect(n).To(BeNumerically("<", size), "the stream is not whole")
+	g.Expect(err).To(MatchError(ContainSubstring("reset")))
+}
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -35,6 +35,7 @@
 	pending := &eventBuffer{memory: &c.memory}
 	watch := f.watchStall(c, a)
 	defer watch.stop()
+	defer f.resetWhenCut(c.r)()
 	buf := make([]byte, streamReadSize)
 	for {
 		n, err := a.Body.Read(buf)
