cmd/buckthorndrum: a process outlives the reader of its log

Callers saw streams with status 200 break off, or connections close without an answer, all of one router at once: of a router process whose log was a pipe that its reader closed 1 s into six streams, at the SIGTERM, all six were cut in that moment, not at the end of the grace period. The process had ended by SIGPIPE, with no line that says so.

Cause: Go ends a process whose write to standard output or standard error finds the pipe closed, unless the signal is ignored. Every request writes a line.

The commands that run a process ignore SIGPIPE now: the write fails, and the line is lost.

--- a/cmd/buckthorndrum/process.go
+++ b/cmd/buckthorndrum/process.go
@@ -4,7 +4,9 @@
 	"context"
 	"flag"
 	"io"
+	"os/signal"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
@@ -92,6 +94,8 @@
 			if err := noArguments(args); err != nil {
 				return err
 			}
+			// Without a reader of its log, a process goes on without a log.
+			signal.Ignore(syscall.SIGPIPE)
 			return run(ctx)
 		},
 	}
