--- a/forwarder/stop_paths_test.go
+++ b/forwarder/stop_paths_test.go
@@ -24,17 +24,6 @@
 	}
 }
 
-// read reads the answer to a request that was sent before.
-func (k *keptConn) read() callerAnswer {
-	resp, err := http.ReadResponse(k.br, nil)
-	if err != nil {
-		return callerAnswer{truncated: true}
-	}
-	defer func() { _ = resp.Body.Close() }()
-	body, err := io.ReadAll(resp.Body)
-	return callerAnswer{status: resp.StatusCode, header: resp.Header, body: string(body), truncated: err != nil, closing: resp.Close}
-}
-
 // The end of an answer was lost to a reset where its caller had sent more than the request:
 // a stopping router closes the connection with those bytes unread.
 func TestStoppingRouterEndsAnswersBeforeUnreadInput(t *testing.T) {
