explainer: an answer that its caller did not take in is told as that

Found by the review of the incident's trace: a stream whose caller read nothing was told as one whose target still answered when the router stopped; rows of docs/OPERATIONS.md fitted both.

--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -28,6 +28,8 @@
 	reasonTime   = "The time limit has passed."
 	reasonStops  = "This router stops."
 	reasonNoTime = "This router stops and could not finish the request."
+	// faultWrite begins the fault of an answer that could not be written to its caller.
+	faultWrite = "write "
 	// reasonBlocked and reasonTrial are followed by the part of the prompt.
 	reasonBlocked = "Targets crash under a part of this prompt: "
 	reasonTrial   = "A part of this prompt is suspected of crashing targets and being tried: "
@@ -70,6 +72,9 @@
 	case endUnknown:
 		return h.unknown(l)
 	case endBroken:
+		if strings.HasPrefix(l.Fault, faultWrite) {
+			return fmt.Sprintf("Its caller did not take in the answer of target %s, because it read too slowly or had closed, so the answer was broken off%s.", last(l), inStep(l))
+		}
 		if l.Reason == reasonStops {
 			return cutByStop(l)
 		}
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -40,6 +40,7 @@
 		"cut":     "Its router stopped and could wait no longer, while target t4 still answered, so the answer was broken off; when it was sent 4.4s were left, and judged by other answers it needed 3.9s at most (it was read 3.1s after the stop began).",
 		"cutlong": "Its router stopped and could wait no longer, while target t4 still answered, so the answer was broken off; it had been sent before the stop (it was read 200ms before the stop began).",
 		"nofit":   "Its router was stopping and had too little time left for it, as others of its kind had taken longer (it was read 4.5s after the stop began); it was not run.",
+		"slow":    "Its caller did not take in the answer of target t4, because it read too slowly or had closed, so the answer was broken off (write events to the caller: write tcp4 127.0.0.1:1->127.0.0.1:2: use of closed network connection).",
 		"latelim": "Its router was stopping and had too little time left for it, as its time limit was 12s away (it was read 3.1s after the stop began); it was not run.",
 		"nomore":  "Target t2 had it and gave no whole answer (EOF); it may have run, and its router was stopping and had too little time left to send it again.",
 		"denied":  "It was turned away for what it asked: The key is not valid.",
