forwarder: a late answer of a route that is not marked as a stream is passed on whole

What callers saw: a request of a repeatable route that a stopping router took late, and whose target answered with events, got its status and some events and was cut off.

Cause: what must fit was decided by the route, what can be taken back by the answer's type.

Change: a request that was taken while stopping, of a route that is not marked as a stream, gets its answer when that is whole; at the router's end it is told 504.

--- a/forwarder/answer.go
+++ b/forwarder/answer.go
@@ -35,7 +35,7 @@
 // the request may be sent to another target, which can still give the caller a complete
 // answer.
 func (f *Forwarder) relayAnswer(ctx context.Context, c *call, t *selectedTarget, a *exchanger.Answer) (admitter.Result, *errorAnswer) {
-	if a.Status == http.StatusOK && strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+	if c.relaysAsStream(a) {
 		return f.relayStream(ctx, c, t, a)
 	}
 	if c.streamStarted() {
@@ -63,6 +63,16 @@
 	return f.writeAnswer(c, a, body, failed), nil
 }
 
+// relaysAsStream reports whether an answer is passed on as it comes. A stopping router can
+// only cut off such an answer, so that it passes on whole what a route answers that is not
+// known to have streams.
+func (c *call) relaysAsStream(a *exchanger.Answer) bool {
+	if a.Status != http.StatusOK || !strings.HasPrefix(a.Header.Get("Content-Type"), "text/event-stream") {
+		return false
+	}
+	return c.route.Stream || c.fit == (stopFit{})
+}
+
 // afterReadError decides what follows when the body of an answer cannot be read to its
 // end.
 func (f *Forwarder) afterReadError(ctx context.Context, c *call, t *selectedTarget, cause error) (admitter.Result, *errorAnswer) {
--- a/forwarder/stop_paths_test.go
+++ b/forwarder/stop_paths_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"buckthorndrum/clocker"
+	"buckthorndrum/identifier"
 )
 
 // largeAnswer answers once release is closed, with more than the callers' kernels take in at
@@ -73,3 +74,42 @@
 	g.Expect(n).To(BeNumerically("<", size), "the stream is not whole")
 	g.Expect(err).To(MatchError(ContainSubstring("reset")))
 }
+
+// answeredOften has the estimate know short answers of a kind.
+func (f *fleet) answeredOften(kind identifier.Kind) {
+	for range 30 {
+		f.durations.record(clocker.Now(), kind, answerTimeOf(50*time.Millisecond, 200*time.Millisecond, 0))
+	}
+}
+
+// afterPortClosed sends a request behind a stream that lasts until the port is closed, on a
+// stopping router, and returns the connection with the request's answer still to be read.
+func (f *fleet) afterPortClosed(g Gomega, method, path, header string) (k *keptConn, drained chan error) {
+	k = f.keep()
+	k.write(http.MethodPost, "/stream/1", "Length: 38\r\n")
+	k.write(method, path, header)
+	eventually(f.t.(*testing.T), "stream has begun", func() bool { return len(f.requestsSeen()) == 1 })
+	time.Sleep(150 * time.Millisecond)
+	drained = f.startDrain(stopLimit)
+	g.Expect(k.read().body).To(Equal(numberedEvents(1, 38)))
+	return k, drained
+}
+
+// A late answer of a route that is not marked as a stream was cut off, as its target answers
+// with one.
+func TestStoppingRouterPassesOnUnmarkedStreamsWhole(t *testing.T) {
+	for _, path := range []string{"/open/2", "/lookup/2"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := newFleet(t, pacedEvents(100*time.Millisecond))
+			f.answeredOften("/open/")
+			f.answeredOften("/lookup/")
+			k, drained := f.afterPortClosed(g, http.MethodPost, path, "Length: 38\r\n")
+			a := k.read()
+			g.Expect(a.truncated).To(BeFalse())
+			g.Expect(a.status).To(Equal(http.StatusGatewayTimeout))
+			g.Eventually(drained, "3s").Should(Receive())
+		})
+	}
+}
