forwarder: answers that did not end count by their share, begun or not

What callers saw: one answer of a thousand that its time limit had ended had all others of its kind refused from the SIGTERM on, for up to a minute; and where targets had not begun to answer before the limit, the next such request was still taken and cut off.

Cause: took each unfinished answer for as good as a complete one, and knew only those that had begun.

Change: unfinished answers are kept apart and count only if they are more than one of a hundred. Also from the review: `taken while stopping` is written when a request is sent, not before a target is chosen (TestTakenIsLoggedOnlyForWhatIsSent).

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -25,6 +25,7 @@
 	if e := f.authorize(c); e != nil {
 		return false, f.correctStatus(c, e)
 	}
+	f.logTaken(c)
 	c.attempts++
 	c.tried = append(c.tried, t.choice.Target)
 	a, err := f.conns.Do(ctx, f.exchangeCall(c, t))
@@ -119,6 +120,7 @@
 	}
 	c.recordConnError(err)
 	if ctx.Err() != nil {
+		f.recordUnfinished(clocker.Coarse(), c)
 		return f.timeoutAnswer(c)
 	}
 	if errors.Is(err, exchanger.ErrUnwanted) && !t.withheld {
--- a/forwarder/duration.go
+++ b/forwarder/duration.go
@@ -17,23 +17,43 @@
 	mu sync.Mutex
 	// startedAt is when the current period began.
 	startedAt         identifier.Instant
-	current, previous map[identifier.Kind]answerTime
+	current, previous map[identifier.Kind]kindTimes
 }
 
-// answerTime holds the longest times of the answers to one kind of request.
+// kindTimes holds the times of the answers to one kind of request: of those that were
+// complete, and of those that ended before, which would have taken longer.
+type kindTimes struct {
+	complete, unfinished answerTime
+}
+
+// merge returns the times of both.
+func (k kindTimes) merge(other kindTimes) kindTimes {
+	return kindTimes{complete: k.complete.longest(other.complete), unfinished: k.unfinished.longest(other.unfinished)}
+}
+
+// answerTime holds the longest times of some answers.
 type answerTime struct {
 	// first is the longest time from the request to the first byte of its answer.
 	first time.Duration
 	// rest is the longest time from there to the end, of answers to requests that do not
-	// say how many tokens they want. rests is the number of those that were complete.
+	// say how many tokens they want. rests is their number.
 	rest  time.Duration
 	rests int
 	// perToken is that time for each token that the request wants at most, of the
-	// others. perTokens is the number of those that were complete.
+	// others. perTokens is their number.
 	perToken  time.Duration
 	perTokens int
 }
 
+// forTokens returns the longest time of an answer to a request for at most tokens, zero if
+// it does not say, and the number of answers by which that is known.
+func (a answerTime) forTokens(tokens int) (longest time.Duration, answers int) {
+	if tokens > 0 {
+		return a.first + a.perToken*time.Duration(tokens), a.perTokens
+	}
+	return a.first + a.rest, a.rests
+}
+
 // longest returns the longest times of both.
 func (a answerTime) longest(b answerTime) answerTime {
 	return answerTime{
@@ -52,22 +72,18 @@
 	return answerTime{first: first, rest: rest, rests: 1}
 }
 
-// unfinishedTimeOf returns the times of an answer that was ended before it was complete. It
-// would have taken longer, and is not counted.
-func unfinishedTimeOf(first, rest time.Duration, tokens int) answerTime {
-	a := answerTimeOf(first, rest, tokens)
-	a.rests, a.perTokens = 0, 0
-	return a
+// record records the times of answers to one kind of request.
+func (d *durations) record(now identifier.Instant, kind identifier.Kind, a answerTime) {
+	d.add(now, kind, kindTimes{complete: a})
 }
 
-// record records the times of an answer.
-func (d *durations) record(now identifier.Instant, kind identifier.Kind, a answerTime) {
+func (d *durations) add(now identifier.Instant, kind identifier.Kind, k kindTimes) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.current == nil || now.Sub(d.startedAt) >= durationPeriod {
-		d.previous, d.current, d.startedAt = d.current, map[identifier.Kind]answerTime{}, now
+		d.previous, d.current, d.startedAt = d.current, map[identifier.Kind]kindTimes{}, now
 	}
-	d.current[kind] = d.current[kind].longest(a)
+	d.current[kind] = d.current[kind].merge(k)
 }
 
 const (
@@ -76,37 +92,45 @@
 	// spareTimeOfFew, divided by the number of answers, is added as well: the longest of few
 	// tells little of the next one.
 	spareTimeOfFew = 10.0
+	// rareAnswers is the number of answers among which one that did not end says nothing
+	// of the others.
+	rareAnswers = 100
 )
 
 // estimate returns how long the answer to a request for at most tokens may take, judged by
-// the longest of late. ok is false if there was none.
+// the longest of late, those that did not end included unless they are rare. ok is false if
+// none was complete.
 func (d *durations) estimate(kind identifier.Kind, tokens int) (estimate time.Duration, ok bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	a := d.current[kind].longest(d.previous[kind])
-	longest, answers := a.first+a.rest, a.rests
-	if tokens > 0 {
-		longest, answers = a.first+a.perToken*time.Duration(tokens), a.perTokens
-	}
+	k := d.current[kind].merge(d.previous[kind])
+	longest, answers := k.complete.forTokens(tokens)
 	if answers == 0 {
 		return 0, false
 	}
+	unfinished, n := k.unfinished.forTokens(tokens)
+	if n*rareAnswers > answers {
+		longest = max(longest, unfinished)
+	}
 	return time.Duration((1 + spareTime + spareTimeOfFew/float64(answers)) * float64(longest)), true
 }
 
-// recordUnfinished records how long an answer took that had begun when its caller left, its
-// time limit passed or the router stopped.
-func (f *Forwarder) recordUnfinished(now identifier.Instant, c *call) {
-	if c.firstByteAt > 0 {
-		f.durations.record(now, c.route.Kind, unfinishedTimeOf(c.firstByteAt.Sub(c.startedAt), now.Sub(c.firstByteAt), c.info.MaxOutputTokens))
+// answerTimeAt returns how long the answer to a request took until now.
+func (c *call) answerTimeAt(now identifier.Instant) answerTime {
+	first := c.firstByteAt
+	if first == 0 {
+		first = now
 	}
+	return answerTimeOf(first.Sub(c.startedAt), now.Sub(first), c.info.MaxOutputTokens)
 }
 
 // recordDuration records how long a complete answer took.
 func (f *Forwarder) recordDuration(now identifier.Instant, c *call) {
-	first := c.firstByteAt
-	if first == 0 {
-		first = now
-	}
-	f.durations.record(now, c.route.Kind, answerTimeOf(first.Sub(c.startedAt), now.Sub(first), c.info.MaxOutputTokens))
+	f.durations.add(now, c.route.Kind, kindTimes{complete: c.answerTimeAt(now)})
+}
+
+// recordUnfinished records how long a request had taken whose caller left, or whose time
+// limit passed, before its answer was complete.
+func (f *Forwarder) recordUnfinished(now identifier.Instant, c *call) {
+	f.durations.add(now, c.route.Kind, kindTimes{unfinished: c.answerTimeAt(now)})
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -209,8 +209,9 @@
 
 // Drain stops the forwarder gracefully. It makes Ready report false, goes on serving
 // for drainDelay, closes the port, waits for the requests in flight until ctx ends, and
-// stops. Requests that are not expected to be done by then are refused. Callers whose requests are still in flight then are answered with what is
-// known about their requests, and Drain returns an error.
+// stops. Requests that are not expected to be done by then are refused. Callers whose
+// requests are still in flight then are answered with what is known about their requests,
+// and Drain returns an error.
 func (f *Forwarder) Drain(ctx context.Context) error {
 	f.beginStop(ctx)
 	select {
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -60,8 +60,8 @@
 	return identifier.Instant(cutAt).Sub(now), cutAt != 0
 }
 
-// stopFit is what decides whether a stopping router takes a request. It is zero for a
-// request that was sent before the stop.
+// stopFit is what decides whether a stopping router takes a request, the last time that it
+// is to be sent. It is zero for a request that was sent before the stop.
 type stopFit struct {
 	// left is for how long the router still waits for the request, and needed how long
 	// it may take.
@@ -83,9 +83,9 @@
 const signalDelay = 500 * time.Millisecond
 
 // mustFit reports whether a stopping router may take a request only if its deadline is
-// before the router's end. A request that comes once callers are no longer sent to the
-// router has others that are sure to finish it. A repeatable one whose answer is passed on
-// whole is still taken by an estimate, as its caller is answered in any case.
+// before the router's end. That is so once callers are directed to other routers, as a
+// stream that has begun can only be cut off, and a request that may not run again would be
+// left with an unknown outcome. Others are still taken by an estimate.
 func (f *Forwarder) mustFit(now identifier.Instant, c *call) bool {
 	if f.sinceStop(now) < drainDelay-signalDelay {
 		return false
@@ -116,11 +116,26 @@
 	}
 	needed, estimated := f.timeNeeded(now, c)
 	c.fit = stopFit{left: left, needed: needed, estimated: estimated}
-	if needed > left {
-		return f.correctStatus(c, &errorAnswer{status: http.StatusServiceUnavailable, reason: "This router stops and could not finish the request.", retryAfter: minRetryAfter})
+	if needed <= left {
+		return nil
+	}
+	return f.correctStatus(c, &errorAnswer{
+		status:     http.StatusServiceUnavailable,
+		reason:     "This router stops and could not finish the request.",
+		retryAfter: minRetryAfter,
+	})
+}
+
+// logTaken writes a log line for a request that a stopping router sends to a target.
+func (f *Forwarder) logTaken(c *call) {
+	if c.fit == (stopFit{}) {
+		return
+	}
+	entry := f.log.Check(zap.InfoLevel, "taken while stopping")
+	if entry == nil {
+		return
 	}
-	f.log.Info("taken while stopping", c.fit.appendTo([]zap.Field{zap.String("request", string(c.info.ID)), zap.Duration("since_stop", f.sinceStop(now))})...)
-	return nil
+	entry.Write(c.fit.appendTo([]zap.Field{zap.String("request", string(c.info.ID)), zap.Duration("since_stop", f.sinceStop(clocker.Coarse()))})...)
 }
 
 // closeIfStopping adds to the header of an answer that its connection is closed, if the
--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -150,6 +150,23 @@
 	}
 }
 
+// A request that no target takes has no line that it was taken.
+func TestTakenIsLoggedOnlyForWhatIsSent(t *testing.T) {
+	g := NewWithT(t)
+	core, logs := observer.New(zapcore.InfoLevel)
+	cfg := testConfig(t)
+	cfg.Log = zap.New(core)
+	f := newFleetWith(t, cfg, completeAnswer)
+	f.answerOften(g)
+	f.SetTargets(nil)
+	drained := f.startDrain(time.Second)
+	eventually(t, "router stops", func() bool { return !f.Ready(clocker.Now()) })
+	a := f.send(f.request(http.MethodGet, "/lookup/1", ""))
+	g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	g.Eventually(drained, "3s").Should(Receive())
+	g.Expect(logs.FilterMessage("taken while stopping").All()).To(BeEmpty())
+}
+
 // endStreamsWhileStopping starts streams on kept connections, stops the router, and returns
 // the connections once the streams have ended, a little less than pause*n later. The
 // callers cannot know of the stop, as the heads of their answers came before it.
@@ -328,6 +345,70 @@
 	}
 }
 
+// Streams that ended before their first event count among those that did not end.
+func TestEstimateKnowsStreamsThatHadNotBegun(t *testing.T) {
+	for name, end := range map[string]func(f *fleet, k *keptConn){
+		"time limit": func(_ *fleet, k *keptConn) {
+			k.send(http.MethodPost, "/once/1", "Length: 3\r\nPatience: 600\r\n")
+		},
+		"caller leaves": func(f *fleet, k *keptConn) {
+			go k.send(http.MethodPost, "/once/1", "Length: 3\r\n")
+			eventually(f.t.(*testing.T), "request arrives", func() bool { return len(f.requestsSeen()) == 1 })
+			time.Sleep(600 * time.Millisecond)
+			_ = k.Close()
+			time.Sleep(200 * time.Millisecond)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			g := NewWithT(t)
+			f := newFleet(t, pacedEvents(700*time.Millisecond))
+			f.answeredOften("/once/")
+			end(f, f.keep())
+			drained := f.startDrain(900 * time.Millisecond)
+			eventually(t, "router stops", func() bool { return !f.Ready(clocker.Now()) })
+			a := f.keep().send(http.MethodPost, "/once/2", "Length: 3\r\n")
+			g.Expect(a.truncated).To(BeFalse())
+			g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+			g.Eventually(drained, "3s").Should(Receive())
+		})
+	}
+}
+
+// Whole answers that their time limit ended count among those that did not end.
+func TestEstimateKnowsWholeAnswersThatDidNotEnd(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, func(w net.Conn, r *http.Request) bool {
+		time.Sleep(2 * time.Second)
+		return completeAnswer(w, r)
+	})
+	f.answeredOften("/lookup/")
+	a := f.keep().send(http.MethodPost, "/lookup/1", "Patience: 1200\r\n")
+	g.Expect(a.status).To(Equal(http.StatusGatewayTimeout))
+	drained := f.startDrain(900 * time.Millisecond)
+	eventually(t, "router stops", func() bool { return !f.Ready(clocker.Now()) })
+	a = f.keep().send(http.MethodPost, "/lookup/2", "")
+	g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+	g.Eventually(drained, "3s").Should(Receive())
+}
+
+// One answer of a thousand that its time limit ended had all of its kind refused from the
+// SIGTERM on.
+func TestOneUnfinishedAnswerAmongManyRefusesNoOthers(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, pacedEvents(100*time.Millisecond))
+	for range 1000 {
+		f.durations.record(clocker.Now(), "/once/", answerTimeOf(50*time.Millisecond, 200*time.Millisecond, 0))
+	}
+	a := f.keep().send(http.MethodPost, "/once/1", "Length: 100\r\nPatience: 4000\r\n")
+	g.Expect(a.truncated).To(BeTrue())
+	drained := f.startDrain(4500 * time.Millisecond)
+	eventually(t, "router stops", func() bool { return !f.Ready(clocker.Now()) })
+	a = f.keep().send(http.MethodPost, "/once/2", "Length: 2\r\n")
+	g.Expect(a.status).To(Equal(http.StatusOK))
+	g.Eventually(drained, "6s").Should(Receive(BeNil()))
+}
+
 // The estimate is the longest time of late, for each token where the request says how many
 // it wants, with half of it to spare, and more if there were few answers. Times are
 // forgotten after two periods.
