placer: two orders of a pool are at least the weight store's interval apart

Cause: a turn was as long as the store's interval (100 ms at the test's 600 a minute) and an order could be given in its first half, but at least 250 ms: in all of it. So one target could order at the end of its turn and the next at the beginning of the next one. At longer intervals two orders could still be half an interval apart. The agents' clock and the store's are not at fault, nor a restart or a second agent.

Trace (scratch copy, the instant of each decision and each answer of the store): 50.770620 engine-1 decides, turn ...907, 70.6 ms into it; 50.770969 taken 50.823887 engine-2 decides, turn ...908, 23.9 ms into it; 50.824625 refused (53.7 ms) All seven refusals of an order of the fleet are such pairs, 5 to 58 ms apart: engine-1 before engine-2 four times, engine-3 before engine-1 three times. The test's check is right: no order of the fleet came within 7.7 s after one of the test's own.

Now: a turn is the order window (as before: half of the interval, at least 250 ms), the whole interval after it, and 250 ms for the difference of clocks and of the time that an order takes. A target in its turn but past the window stopped taking work at once for a turn that it could not use; it serves until 5 s before it may order.

Clocks have to agree better than before: 250 ms with the way of the order, where half of a turn was promised and did not keep the rate.

--- a/placer/config.go
+++ b/placer/config.go
@@ -72,6 +72,10 @@
 	// minOrderWindow is the minimum length of the part of a turn, from its start, in
 	// which an order may be issued.
 	minOrderWindow = 250 * time.Millisecond
+	// maxOrderSkew is how much closer two orders may come to each other on their way to
+	// the weight store: the sum of the difference of two agents' clocks and of the time
+	// that an order takes.
+	maxOrderSkew = 250 * time.Millisecond
 )
 
 // models returns the pool's models, sorted by name.
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -32,11 +32,11 @@
 		t.Fatalf("%s", w.violation)
 	}
 	// In any period there are at most as many orders as the rate allows for its
-	// length, plus two: one at each end.
+	// length, plus the one that starts it.
 	for i := range w.orderedAt {
 		for j := i + 1; j < len(w.orderedAt); j++ {
 			d := w.orderedAt[j].Sub(w.orderedAt[i])
-			if limit := d.Minutes()*loadsPerMinute + 2; float64(j-i+1) > limit {
+			if limit := d.Minutes()*loadsPerMinute + 1; float64(j-i+1) > limit {
 				t.Fatalf("%d orders in %s, more than %.1f", j-i+1, d, limit)
 			}
 		}
--- a/placer/turn.go
+++ b/placer/turn.go
@@ -7,13 +7,25 @@
 )
 
 // The weight store's rate limit is kept without communication. Time is divided
-// into turns as long as the limit's interval. The pool's targets own the turns
-// one after the other, and a target issues at most one order in each turn that
-// it owns.
+// into turns. The pool's targets own the turns one after the other, and a target
+// issues at most one order in each turn that it owns, within the order window at
+// the turn's start. From the end of the window to the next turn there is the whole
+// interval of the rate limit, so that no two orders are closer than that.
+
+// loadInterval returns the minimum time between two loads at the weight store.
+func (c Config) loadInterval() time.Duration {
+	return time.Duration(float64(time.Minute) / c.LoadsPerMinute)
+}
+
+// orderWindow returns the length of the part of a turn, from its start, in which
+// an order may be issued.
+func (c Config) orderWindow() time.Duration {
+	return max(c.loadInterval()/2, minOrderWindow)
+}
 
 // turnLength returns the length of one turn.
 func (c Config) turnLength() time.Duration {
-	return time.Duration(float64(time.Minute) / c.LoadsPerMinute)
+	return c.orderWindow() + c.loadInterval() + maxOrderSkew
 }
 
 // turnIndex returns the index of Self in Targets, or false if it is not there.
@@ -26,36 +38,43 @@
 	return 0, false
 }
 
-// takeTurn reports whether an order may be issued now and, if so, records the
-// turn as used.
-func (p *Placer) takeTurn(now identifier.Instant) bool {
+// mayOrder reports whether now is in the order window of a turn that the target
+// owns and has not used.
+func (p *Placer) mayOrder(now identifier.Instant) bool {
 	index, found := p.cfg.turnIndex()
 	if !found {
 		return false
 	}
 	turn := int64(now) / int64(p.cfg.turnLength())
-	elapsed := time.Duration(int64(now) % int64(p.cfg.turnLength()))
 	if turn%int64(len(p.cfg.Targets)) != index || turn == p.lastTurn {
 		return false
 	}
-	if elapsed > max(p.cfg.turnLength()/2, minOrderWindow) {
-		return false // By another target's clock the next turn may have begun.
+	elapsed := time.Duration(int64(now) % int64(p.cfg.turnLength()))
+	return elapsed <= p.cfg.orderWindow()
+}
+
+// takeTurn reports whether an order may be issued now and, if so, records the
+// turn as used.
+func (p *Placer) takeTurn(now identifier.Instant) bool {
+	if !p.mayOrder(now) {
+		return false
 	}
-	p.lastTurn = turn
+	p.lastTurn = int64(now) / int64(p.cfg.turnLength())
 	return true
 }
 
-// untilTurn returns the time until the target's next turn, zero during its turn.
+// untilTurn returns the time until the target may issue an order, zero if it may
+// now.
 func (p *Placer) untilTurn(now identifier.Instant) time.Duration {
 	index, found := p.cfg.turnIndex()
 	if !found {
 		return peerTimeout // Longer than drainLead, so that no switch starts.
 	}
-	n := int64(len(p.cfg.Targets))
-	turn := int64(now) / int64(p.cfg.turnLength())
-	turnsAhead := (index - turn%n + n) % n
-	if turnsAhead == 0 {
+	if p.mayOrder(now) {
 		return 0
 	}
+	n := int64(len(p.cfg.Targets))
+	turn := int64(now) / int64(p.cfg.turnLength())
+	turnsAhead := (index-turn%n+n-1)%n + 1 // From 1 to n: the current turn is over for orders.
 	return time.Duration((turn+turnsAhead)*int64(p.cfg.turnLength()) - int64(now))
 }
