isolator: crashes that a part did not cause convict it less easily

Cause: conviction by coincidence.

Five crashes, whatever their time and target, block as before.

Failed try: each crash without the part in the 10 s before raised what blocks. Taken out again.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -32,6 +32,9 @@
 	// Isolate is zero, or a number by which the request goes to one target only, the same
 	// from all routers, so that it can harm no others.
 	Isolate uint64
+	// Crashed are the targets that have crashed under what isolates the request. It goes to
+	// one of them only if there is no other.
+	Crashed []identifier.Target
 	// LocalDataCentre is the data centre of the router.
 	LocalDataCentre identifier.DataCentre
 	// Seed breaks ties between the targets of a plain service. For a prompt without a
--- a/admitter/isolate.go
+++ b/admitter/isolate.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -12,19 +13,10 @@
 const isolatedRetryAfter = time.Second
 
 // chooseIsolated chooses the one target for a request that is isolated: the listed one
-// with the highest hash of req.Isolate and its id. If that target takes no work the
-// request is refused.
+// with the highest hash of req.Isolate and its id, of those that have not crashed if there
+// are any. If that target takes no work the request is refused.
 func (a *Admitter) chooseIsolated(now identifier.Instant, p *pool, req Request) Choice {
-	var only *targetState
-	var highest uint64
-	for _, t := range p.targets {
-		if t.admission.ListedLeaving() || t.admission.LeavingSince() != 0 {
-			continue
-		}
-		if h := mix(req.Isolate ^ xxhash.Sum64String(string(t.ID))); only == nil || h > highest {
-			only, highest = t, h
-		}
-	}
+	only := isolatedTarget(p, req)
 	if only == nil {
 		return Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
 	}
@@ -37,3 +29,21 @@
 	}
 	return Choice{Target: only.ID, Wait: c.wait, PrefillTokens: c.prefillTokens}
 }
+
+// isolatedTarget returns the one target for a request that is isolated, nil if all leave.
+func isolatedTarget(p *pool, req Request) *targetState {
+	var only *targetState
+	var highest uint64
+	onlyCrashed := false
+	for _, t := range p.targets {
+		if t.admission.ListedLeaving() || t.admission.LeavingSince() != 0 {
+			continue
+		}
+		crashed := slices.Contains(req.Crashed, t.ID)
+		h := mix(req.Isolate ^ xxhash.Sum64String(string(t.ID)))
+		if only == nil || onlyCrashed && !crashed || onlyCrashed == crashed && h > highest {
+			only, highest, onlyCrashed = t, h, crashed
+		}
+	}
+	return only
+}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -237,6 +237,9 @@
 	run *isolator.Run
 	// outcome is how the run ended. It is Ended until more is known.
 	outcome isolator.Outcome
+	// progressAt is when the progress of the answer was last recorded, at first that of its
+	// first event.
+	progressAt identifier.Instant
 	// askedPause is set when the target's answer asks for a pause.
 	askedPause bool
 }
@@ -270,7 +273,9 @@
 		shareRatio = f.state.sharer.ShareRatio(now, c.workspace)
 	}
 	req := f.targetRequirements(c, shareRatio)
-	req.Isolate = isolate
+	if req.Isolate = isolate; isolate != 0 {
+		req.Crashed = f.crashedTargets(isolator.Part(isolate))
+	}
 	choice := admitter.Choice{Refused: admitter.ShareExceeded, Wait: time.Second}
 	if req.Model == "" || c.runs > 0 || c.randomFraction() < f.state.sharer.AdmissionRatio(now, c.workspace) {
 		choice = f.state.admitter.Choose(now, req)
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -68,7 +68,8 @@
 
 // crashID returns the identifier of a crash of the incarnation of a target.
 func crashID(t admitter.Target) isolator.CrashID {
-	return isolator.CrashID(xxhash.Sum64String(string(t.ID) + "|" + t.Address + "|" + strconv.FormatInt(t.Incarnation, 10)))
+	incarnation := xxhash.Sum64String(t.Address + "|" + strconv.FormatInt(t.Incarnation, 10))
+	return isolator.NewCrashID(isolator.HashTarget(t.ID), uint32(incarnation))
 }
 
 // startRun records that the request is about to be sent to target t. The caller holds
@@ -87,6 +88,24 @@
 	}
 }
 
+// recordProgress records that target t goes on with the events of its answer.
+func (f *Forwarder) recordProgress(t *selectedTarget) {
+	if t.run == nil {
+		return
+	}
+	now := clocker.Coarse()
+	if t.progressAt == 0 {
+		t.progressAt = now
+	}
+	if now.Sub(t.progressAt) < isolator.ProgressInterval {
+		return
+	}
+	t.progressAt = now
+	f.state.mu.Lock()
+	defer f.state.mu.Unlock()
+	f.state.isolator.RecordProgress(now, t.run)
+}
+
 // noteBreak records that target t broke off, before or in its answer, and finds out
 // whether it has crashed. It returns once that is known, or after maxCrashWait. A
 // connection that timed out shows nothing of its target, which may be out of reach.
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -13,7 +13,9 @@
 	. "github.com/onsi/gomega"
 
 	"buckthorndrum/admitter"
+	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
+	"buckthorndrum/isolator"
 )
 
 // crashPart is the part of a prompt at which a crashing target ends.
@@ -98,6 +100,65 @@
 	g.Expect(crashes.Load()).To(BeEquivalentTo(1))
 }
 
+// A suspected part is not tried at the target that has just crashed under it, which may
+// go down and up by itself.
+func TestSuspectedPartIsTriedAtAnotherTarget(t *testing.T) {
+	const parts = 16
+	g := NewWithT(t)
+	answer := events(2, true, "")
+	f := newFleet(t, answer, answer, answer)
+	crashed := f.targets[0]
+	for n := range parts {
+		f.state.mu.Lock()
+		now := clocker.Now()
+		crashed.Incarnation = int64(n)
+		f.state.isolator.StartRun(now, crashID(crashed), "w", []isolator.Part{isolator.Part(100 + n)})
+		f.state.isolator.RecordCrash(now, crashID(crashed))
+		f.state.mu.Unlock()
+		g.Expect(f.send(f.prompt(fmt.Sprintf("%d,2", 100+n))).status).To(Equal(http.StatusOK))
+	}
+	for _, r := range f.requestsSeen() {
+		g.Expect(r.target).NotTo(Equal(string(crashed.ID)))
+	}
+	g.Expect(f.requestsSeen()).To(HaveLen(parts))
+}
+
+// endingLate sends events for a while and then ends the target.
+func endingLate(l net.Listener) script {
+	const (
+		lasting = 30
+		pause   = 50 * time.Millisecond
+	)
+	return func(w net.Conn, r *http.Request) bool {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 x\r\nId: %s\r\nSeal: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", r.Header.Get("Id"))
+		for n := range lasting {
+			writeChunk(w, numberedEvents(n+1, n+1))
+			time.Sleep(pause)
+		}
+		_ = l.Close()
+		return false
+	}
+}
+
+// A target that has delivered events for a while does not crash under a part of the
+// request: the part is neither suspected nor blocked, however often that happens and
+// though it was never answered whole.
+func TestPartOfLongStreamsIsNotBlocked(t *testing.T) {
+	const crashes = 6
+	g := NewWithT(t)
+	f := newFleet(t)
+	for n := range crashes {
+		f.addListeningTarget(fmt.Sprintf("c%d", n), endingLate)
+		answer := f.send(f.prompt(fmt.Sprintf("1,5,%d", n)))
+		g.Expect(answer.status).To(Equal(http.StatusOK), "request %d: %s", n, answer.body)
+		g.Expect(answer.truncated).To(BeTrue())
+		f.dropCrashed()
+		f.state.mu.Lock()
+		g.Expect(f.state.isolator.CountSuspected(clocker.Now())).To(BeZero(), "crash %d", n)
+		f.state.mu.Unlock()
+	}
+}
+
 // A break that is not a crash suspects nothing, and the request is sent again.
 func TestBrokenAnswerOfRunningTargetSuspectsNothing(t *testing.T) {
 	g := NewWithT(t)
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -41,6 +41,18 @@
 	return uint64(v.Part), nil
 }
 
+// crashedTargets returns the listed targets that are known to have crashed while a part was
+// running there. The caller holds f.state.mu.
+func (f *Forwarder) crashedTargets(p isolator.Part) []identifier.Target {
+	var list []identifier.Target
+	for id := range f.state.addresses {
+		if f.state.isolator.HasCrashed(isolator.HashTarget(id), p) {
+			list = append(list, id)
+		}
+	}
+	return list
+}
+
 // suspects reports whether a part of the request's prompt is suspected or blocked.
 func (f *Forwarder) suspects(c *call) bool {
 	f.state.mu.Lock()
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -111,6 +111,7 @@
 			start = end
 		} else if hasContent(event) {
 			watch.recordEvent()
+			f.recordProgress(t)
 		}
 	}
 	if orderErr != nil && !next.confirmed {
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -14,14 +14,15 @@
 	// on a good part stop coming at the same time.
 	answerGrace = 2 * time.Second
 	// sameCause is the time between two crashes up to which they count once, since one
-	// fault of a data centre may end many targets. The crash of a trial always counts.
+	// fault of a data centre may end many targets. The crash of a trial counts nevertheless.
 	sameCause = 250 * time.Millisecond
 	// blockAfter is the number of crashes after which a part is blocked that was never
 	// answered, and blockAnsweredAfter that for a part that was answered before.
 	blockAfter         = 3
 	blockAnsweredAfter = 4
 	// blockAfterAtOnce is the number of crashes after which a part is blocked even if they
-	// may have the same cause. Requests with the same rare part run at few targets.
+	// may have the same cause or are of the same target. Requests with the same rare part
+	// run at few targets.
 	blockAfterAtOnce = 5
 	// suspectAnsweredAfter is the number of crashes after which a part is suspected that
 	// was answered before. A part that was never answered is suspected after the first.
@@ -131,6 +132,16 @@
 	return max(i.own.last(p), i.peers[p])
 }
 
+// HasCrashed reports whether a crash of a target is remembered at which a part was running.
+func (i *Isolator) HasCrashed(t TargetHash, p Part) bool {
+	for id, c := range i.crashes {
+		if _, running := c.suspects[p]; running && id.target() == t {
+			return true
+		}
+	}
+	return false
+}
+
 // addCrash returns the crash with the given id and adds it if it is new. The earliest
 // instant counts.
 func (i *Isolator) addCrash(now, at identifier.Instant, id CrashID) *crash {
--- a/isolator/report.go
+++ b/isolator/report.go
@@ -13,9 +13,24 @@
 // Part identifies a part of a prompt that other prompts may share.
 type Part uint64
 
-// CrashID identifies a crash: the end of one incarnation of one target.
+// CrashID identifies a crash: the end of one incarnation of one target. Its lower half is
+// the target's hash.
 type CrashID uint64
 
+// TargetHash is a hash of a target's id.
+type TargetHash uint32
+
+// HashTarget returns the hash of a target's id.
+func HashTarget(t identifier.Target) TargetHash { return TargetHash(xxhash.Sum64String(string(t))) }
+
+// NewCrashID returns the identifier of the crash of an incarnation of a target.
+func NewCrashID(t TargetHash, incarnation uint32) CrashID {
+	return CrashID(incarnation)<<32 | CrashID(t)
+}
+
+// target returns the hash of the target that crashed.
+func (c CrashID) target() TargetHash { return TargetHash(c) }
+
 // WorkspaceHash is a hash of a workspace's name. Reports carry it to save space.
 type WorkspaceHash uint32
 
--- a/isolator/run.go
+++ b/isolator/run.go
@@ -10,6 +10,10 @@
 // is noticed later.
 const brokenFor = time.Second
 
+// ProgressInterval is the time between the first event of an answer and the record of its
+// progress, and between two records.
+const ProgressInterval = time.Second
+
 // maxPartsPerRun bounds the parts of one request that are looked at.
 const maxPartsPerRun = 16
 
@@ -67,9 +71,15 @@
 		return
 	}
 	i.dropRun(r)
-	if o != Answered {
-		return
+	if o == Answered {
+		i.RecordProgress(now, r)
 	}
+}
+
+// RecordProgress records that the target of a run goes on with its answer, ProgressInterval
+// or more after the answer's first event. It clears the parts as a complete answer does: a
+// target that crashes under a part does so when it begins to answer.
+func (i *Isolator) RecordProgress(now identifier.Instant, r *Run) {
 	for _, p := range r.parts {
 		i.own.record(now, p)
 		i.dirty = i.dirty || i.isSuspect(p)
