forwarder: late streams are those from 0.2 s before the port closes

Cause: from half a second before its port closes a stopping router took no stream that it was not certain to finish, as signals may be handled late.

Change: 0.2 s. With the 0.2 s that last answers take it stays within the 0.5 s between the router's end and the time at which it would be killed.

--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -80,7 +80,7 @@
 }
 
 // signalDelay is how much later than it was sent a signal may be handled.
-const signalDelay = 500 * time.Millisecond
+const signalDelay = 200 * time.Millisecond
 
 // mustFit reports whether a stopping router may take a request only if its deadline is
 // before the router's end. That is so once callers are directed to other routers, as a
