--- a/forwarder/stop_test.go
+++ b/forwarder/stop_test.go
@@ -223,7 +223,7 @@
 
 // Once its port is closed, a stopping router takes a stream, or a request that may not run
 // again, only if its deadline is before the router's end, however short others of its kind
-// were. A longer one was cut off in the middle (LOST around a SIGTERM, ndtra-baling).
+// were. A longer one was cut off in the middle (LOST around a SIGTERM).
 func TestStoppingRouterCutsOffNoStreamThatCameLate(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t, pacedEvents(100*time.Millisecond))
