admitter, forwarder: requests go where running streams keep to their gap objective

Cause: on a deployment whose engines share their instances, four of five late answers are late by a gap between two events: prompts are prefilled between the tokens of running streams, and admission looked at the first token only. Targets differ in speed by more than two, which the time to a first token shows too late. Change: targets' paces, the speed of a target by the time between its events, a bound on the expected gap; the time to prefill the own prompt counts in the cost. In force only where targets report a pace and routes have a gap objective. Logs and metrics tell by what answers are late.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -26,6 +26,12 @@
 	// TargetMemory is the memory capacity of one target in tokens, zero if it is not
 	// known.
 	TargetMemory int
+	// GapObjective is the longest gap between two events at which all streams of the pool
+	// are on time, zero if there is none.
+	GapObjective time.Duration
+	// EventTokens is the number of tokens of one event of a stream, zero if it is not
+	// known.
+	EventTokens int
 	// Exclude are the targets that earlier attempts of the request were sent to. They are
 	// not chosen again.
 	Exclude []identifier.Target
@@ -128,7 +134,7 @@
 	}
 	for id, p := range pools {
 		if old := a.pools[id]; old != nil {
-			p.ring = old.ring
+			p.ring, p.pace = old.ring, old.pace
 		}
 		p.ring.setTargets(withoutLeaving(p.targets))
 	}
@@ -267,7 +273,7 @@
 	}
 	attempt.answerStarted = true
 	t.ownLoad.PrefillTokens -= attempt.load.PrefillTokens
-	t.latency.observe(attempt.prefillTokens, now.Sub(attempt.startedAt))
+	t.latency.observe(int(float64(attempt.prefillTokens)*t.relativeTime()), now.Sub(attempt.startedAt))
 	attempt.load.PrefillTokens = 0
 }
 
--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -63,9 +63,9 @@
 	}
 	preferred := min(len(candidates), maxPreferredTargets)
 	spareCapacity := req.WithinShare || p.meanQueueDelay <= spareQueuePercent*req.MaxWait/100
-	best := cheapest(candidates[:preferred], req, spareCapacity)
+	best := p.cheapest(candidates[:preferred], req, spareCapacity)
 	if best == nil && req.WithinShare {
-		best = cheapest(a.addShortestQueues(now, p, req, keys)[preferred:], req, spareCapacity)
+		best = p.cheapest(a.addShortestQueues(now, p, req, keys)[preferred:], req, spareCapacity)
 	}
 	if best == nil {
 		return Choice{Refused: TargetsBusy, Wait: a.shortestWait(p)}
@@ -140,11 +140,11 @@
 
 // cheapest returns the candidate of lowest cost that the request fits, or nil. Without
 // spare capacity it considers only those at which no shared prefix has to be recomputed.
-func cheapest(candidates []candidate, req Request, spareCapacity bool) *candidate {
+func (p *pool) cheapest(candidates []candidate, req Request, spareCapacity bool) *candidate {
 	var best *candidate
 	for i := range candidates {
 		c := &candidates[i]
-		if !fits(*c, req) || (!spareCapacity && c.recomputeTokens > 0) {
+		if !fits(*c, req) || !p.keepsGap(*c, req) || (!spareCapacity && c.recomputeTokens > 0) {
 			continue
 		}
 		if best == nil || c.cost < best.cost {
@@ -168,10 +168,11 @@
 		c.prefillTokens = unshared
 	}
 	c.recomputeTokens = c.prefillTokens - unshared
-	c.queueDelay = t.latency.prefillTime(c.load.PrefillTokens)
-	c.prefillTime = t.latency.prefillTime(c.prefillTokens)
+	c.queueDelay = t.prefillTime(c.load.PrefillTokens)
+	c.prefillTime = t.prefillTime(c.prefillTokens)
 	c.wait = t.latency.base + c.queueDelay + c.prefillTime
-	c.cost = c.queueDelay + time.Duration(float64(c.queueDelay)*float64(c.prefillTokens)/typicalPrefill) + recomputeWeight*t.latency.prefillTime(c.recomputeTokens)
+	c.cost = c.queueDelay + time.Duration(float64(c.queueDelay)*float64(c.prefillTokens)/typicalPrefill) + recomputeWeight*t.prefillTime(c.recomputeTokens)
+	c.cost += ownPrefillCost(c)
 	return c
 }
 
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -16,6 +16,8 @@
 	targets []*targetState
 	// ring is the hash ring of the targets that are not listed as leaving.
 	ring ring
+	// pace is the slowest pace that the targets have reported of late.
+	pace paceWindow
 	// summarisedAt is when the fields below were computed, zero if they are out of date.
 	summarisedAt identifier.Instant
 	// The summary covers the targets that accept work. minFailureRate is their lowest
@@ -25,6 +27,8 @@
 	minFailureRate float64
 	meanQueueDelay time.Duration
 	minWait        time.Duration
+	// fastest is the target with the lowest slowdown, nil if no target accepts work.
+	fastest *targetState
 	// shortestQueues holds the targets with a free slot and the shortest queueing delay,
 	// in ascending order, at most maxShortestQueues.
 	shortestQueues []*targetState
@@ -40,6 +44,9 @@
 		return
 	}
 	p.summarisedAt = now
+	p.pace.advance(now)
+	p.compareSpeeds()
+	p.fastest = nil
 	p.minFailureRate, p.minWait = 1, -1
 	p.shortestQueues = p.shortestQueues[:0]
 	var sum time.Duration
@@ -50,7 +57,10 @@
 		}
 		n++
 		p.minFailureRate = min(p.minFailureRate, t.failureRate)
-		t.queueDelay = t.latency.prefillTime(t.totalLoad().PrefillTokens)
+		if p.fastest == nil || t.relativeTime() < p.fastest.relativeTime() {
+			p.fastest = t
+		}
+		t.queueDelay = t.prefillTime(t.totalLoad().PrefillTokens)
 		sum += t.queueDelay
 		if wait := t.latency.base + t.queueDelay; p.minWait < 0 || wait < p.minWait {
 			p.minWait = wait
--- a/admitter/target.go
+++ b/admitter/target.go
@@ -64,6 +64,12 @@
 	admission permitter.AdmissionState
 	// limit keeps the requests of all routers to the rate that it names.
 	limit permitter.SharedLimit
+	// eventTime is the estimated time between two events of a stream, in nanoseconds, zero
+	// if it is not known.
+	eventTime float64
+	// slowdown is how many times as long as the mean target of its pool the target takes,
+	// as of the last summary of its pool, zero if that is not known.
+	slowdown float64
 	// failureRate is the smoothed fraction of answers that are failures.
 	failureRate float64
 	// lastAttempt is when the target was last given a request.
--- a/forwarder/accesslog.go
+++ b/forwarder/accesslog.go
@@ -58,6 +58,7 @@
 	if c.firstByteAt > 0 {
 		f.metrics.firstByte.Observe(c.firstByteAt.Sub(c.arrived).Seconds())
 	}
+	f.countLate(c, outcome)
 	entry := f.log.Check(zap.InfoLevel, "request ended")
 	if entry == nil {
 		return
@@ -82,6 +83,9 @@
 	if c.firstByteAt > 0 {
 		fields = append(fields, zap.Duration("first", c.firstByteAt.Sub(c.arrived)))
 	}
+	if c.stream != nil && c.stream.longestGap > 0 {
+		fields = append(fields, zap.Duration("longest_gap", c.stream.longestGap))
+	}
 	if c.reason != "" || c.connError != "" {
 		fields = append(fields, zap.String("reason", c.reason), zap.String("fault", c.connError))
 	}
@@ -119,3 +123,23 @@
 	}
 	return outcomeAnswered
 }
+
+// The causes of late answers, as values of the cause label.
+const (
+	lateFirstByte = "first_event"
+	lateGap       = "gap"
+)
+
+// countLate counts a complete answer that missed an objective of its route, once for each
+// objective.
+func (f *Forwarder) countLate(c *call, outcome string) {
+	if outcome != outcomeAnswered || c.route == nil || c.firstByteAt == 0 {
+		return
+	}
+	if limit := c.route.LatencyObjective; limit > 0 && c.firstByteAt.Sub(c.arrived) > limit {
+		f.metrics.late.WithLabelValues(lateFirstByte).Inc()
+	}
+	if limit := c.route.GapObjective; limit > 0 && c.stream != nil && c.stream.longestGap > limit {
+		f.metrics.late.WithLabelValues(lateGap).Inc()
+	}
+}
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -240,6 +240,8 @@
 	// progressAt is when the progress of the answer was last recorded, at first that of its
 	// first event.
 	progressAt identifier.Instant
+	// events measures the time between the events of the answer.
+	events eventTimer
 	// askedPause is set when the target's answer asks for a pause.
 	askedPause bool
 }
@@ -251,9 +253,11 @@
 // targetRequirements returns what the admitter needs to know of a request to select a
 // target, given the share ratio of its workspace.
 func (f *Forwarder) targetRequirements(c *call, shareRatio float64) admitter.Request {
+	pool := f.state.snapshot.Load().pools[c.pool]
 	return admitter.Request{
 		Pool: c.pool, Model: c.info.Model, Segments: c.info.PromptPrefix, PromptTokens: c.info.PromptTokens, MaxOutputTokens: c.info.MaxOutputTokens,
-		TargetMemory: f.state.snapshot.Load().pools[c.pool].MemoryTokens, Exclude: c.tried, LocalDataCentre: f.cfg.DataCentre, Seed: c.seed,
+		TargetMemory: pool.MemoryTokens, Exclude: c.tried, LocalDataCentre: f.cfg.DataCentre, Seed: c.seed,
+		GapObjective: pool.GapObjective, EventTokens: pool.EventTokens,
 		WithinShare: shareRatio >= 1, MaxWait: latencyLimit(c.route.LatencyObjective, shareRatio),
 	}
 }
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -66,6 +66,9 @@
 	Leaving bool
 	// Limit is the rate of requests that the target wants from all routers together.
 	Limit permitter.Limit
+	// Pace is how many times as long as usual work takes at the target now, zero if the
+	// target does not say.
+	Pace float64
 	// Pause is how long the target wants no new requests. It is read from answers that
 	// reject the request.
 	Pause permitter.Pause
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -30,6 +30,7 @@
 func (f *Forwarder) applyNotice(t *selectedTarget, info AnswerInfo) {
 	if !info.Misdirected {
 		f.noteLimit(t, info.Limit)
+		f.recordPace(t, info.Pace)
 	}
 	if info.Misdirected || !info.Leaving && info.Pause == (permitter.Pause{}) {
 		return
--- a/forwarder/snapshot.go
+++ b/forwarder/snapshot.go
@@ -72,6 +72,11 @@
 	Engine bool
 	// MemoryTokens is the memory of one engine, in tokens.
 	MemoryTokens int
+	// EventTokens is the number of tokens of one event of a stream.
+	EventTokens int
+	// GapObjective is the shortest gap objective of the routes that the pool serves, zero
+	// if none has one.
+	GapObjective time.Duration
 }
 
 // Workspace is a customer with its keys.
@@ -101,6 +106,7 @@
 	}
 	for i := range routes {
 		s.addRoute(&routes[i])
+		s.addGapObjective(&routes[i])
 	}
 	for _, list := range s.routes {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -113,6 +119,17 @@
 	s.routes[host] = append(s.routes[host], r)
 }
 
+// addGapObjective applies the gap objective of a route to the pools that serve it.
+func (s *Snapshot) addGapObjective(r *Route) {
+	for _, w := range r.Split {
+		p, known := s.pools[w.Pool]
+		if known && w.Weight > 0 && r.GapObjective > 0 && (p.GapObjective == 0 || r.GapObjective < p.GapObjective) {
+			p.GapObjective = r.GapObjective
+			s.pools[w.Pool] = p
+		}
+	}
+}
+
 // Match returns the route with the longest path prefix that matches a request, or nil.
 // The port and case of host are ignored.
 func (s *Snapshot) Match(host, path string) *Route {
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -4,12 +4,14 @@
 	"context"
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
 	"buckthorndrum/admitter"
 	"buckthorndrum/clocker"
 	"buckthorndrum/exchanger"
+	"buckthorndrum/identifier"
 )
 
 // stream is how much of a stream of events the caller has received.
@@ -17,6 +19,10 @@
 	position
 	// writes counts the writes of events to the caller.
 	writes int
+	// lastWriteAt is when events were last written, zero before the first write, and
+	// longestGap the longest time between two writes.
+	lastWriteAt identifier.Instant
+	longestGap  time.Duration
 }
 
 // streamReadSize is the maximum number of bytes of a stream that are read at a time.
@@ -139,12 +145,23 @@
 		c.w.WriteHeader(a.Status)
 	}
 	c.stream.writes++
+	now := clocker.Coarse()
+	c.stream.recordWrite(now)
+	f.recordEventTime(t, now)
 	if _, err := c.w.Write(events); err != nil {
 		return err
 	}
 	return http.NewResponseController(c.w).Flush()
 }
 
+// recordWrite records that events are written at now.
+func (s *stream) recordWrite(now identifier.Instant) {
+	if s.lastWriteAt != 0 {
+		s.longestGap = max(s.longestGap, now.Sub(s.lastWriteAt))
+	}
+	s.lastWriteAt = now
+}
+
 // recordFirstByte records, once for each attempt, that a target has begun to answer.
 func (f *Forwarder) recordFirstByte(c *call, t *selectedTarget) {
 	if t.firstByteSeen {
