admitter: targets of evacuated data centres get no new work

Cause: an operator must be able to take a data centre out of use. Evacuated targets leave the hash ring but count for the points per target, so that other prefixes stay. Isolated requests avoid them.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -58,6 +58,9 @@
 	// TargetsLimited means that targets which would have been chosen have reached the rate
 	// of requests that they name, and that the request fits at no other.
 	TargetsLimited Refusal = "targets are at their limits"
+	// TargetsEvacuated means that no target of the pool accepts work, that at least one is in
+	// an evacuated data centre, and that it is not known when another accepts work again.
+	TargetsEvacuated Refusal = "data centres of all targets are evacuated"
 	// ShareExceeded means that the workspace has too much more than others. Choose does
 	// not return it; its caller sets it.
 	ShareExceeded Refusal = "workspace is beyond its share"
@@ -91,6 +94,8 @@
 	// departed holds the incarnations that have announced that they leave and are no
 	// longer listed, with the time of the announcement, as an entry may be listed again.
 	departed map[incarnation]identifier.Instant
+	// evacuated holds the evacuated data centres.
+	evacuated map[identifier.DataCentre]bool
 	// processes is the number of routers, including this one.
 	processes int
 	// candidates is the buffer for the targets that one choice evaluates.
@@ -123,6 +128,7 @@
 		}
 		s.Target = t
 		s.admission.SetListedLeaving(t.Leaving)
+		s.admission.SetEvacuated(a.evacuated[t.DataCentre])
 		next[t.ID] = s
 		p.targets = append(p.targets, s)
 	}
@@ -130,21 +136,28 @@
 		if old := a.pools[id]; old != nil {
 			p.ring = old.ring
 		}
-		p.ring.setTargets(withoutLeaving(p.targets))
+		p.updateRing()
 	}
 	a.rememberDeparted(next)
 	a.targets, a.pools = next, pools
 }
 
-// withoutLeaving returns the targets that are not listed as leaving.
-func withoutLeaving(list []*targetState) []*targetState {
-	remaining := make([]*targetState, 0, len(list))
-	for _, t := range list {
-		if !t.Leaving {
+// updateRing sets the targets of the ring: those that are neither listed as leaving nor in
+// an evacuated data centre. Evacuated targets count for the number of points per target, so
+// that an evacuation moves only their own prefixes.
+func (p *pool) updateRing() {
+	remaining := make([]*targetState, 0, len(p.targets))
+	evacuated := 0
+	for _, t := range p.targets {
+		switch {
+		case t.Leaving:
+		case t.admission.Evacuated():
+			evacuated++
+		default:
 			remaining = append(remaining, t)
 		}
 	}
-	return remaining
+	p.ring.setTargets(remaining, len(remaining)+evacuated)
 }
 
 // Choose returns the target for a request, or a refusal. It does not record the request;
--- a/admitter/isolate.go
+++ b/admitter/isolate.go
@@ -30,13 +30,14 @@
 	return Choice{Target: only.ID, Wait: c.wait, PrefillTokens: c.prefillTokens}
 }
 
-// isolatedTarget returns the one target for a request that is isolated, nil if all leave.
+// isolatedTarget returns the one target for a request that is isolated, nil if all leave or
+// are evacuated.
 func isolatedTarget(p *pool, req Request) *targetState {
 	var only *targetState
 	var highest uint64
 	onlyCrashed := false
 	for _, t := range p.targets {
-		if t.admission.ListedLeaving() || t.admission.LeavingSince() != 0 {
+		if t.admission.ListedLeaving() || t.admission.LeavingSince() != 0 || t.admission.Evacuated() {
 			continue
 		}
 		crashed := slices.Contains(req.Crashed, t.ID)
--- a/admitter/notice.go
+++ b/admitter/notice.go
@@ -65,7 +65,7 @@
 
 // PoolRefusal returns the refusal of requests that no target of a pool can take:
 // TargetsPausing if no target accepts work and it is known when the first one will, else
-// NoTarget. A target whose connections failed makes it NoTarget. For a pool without
+// TargetsEvacuated if one of them is evacuated, else NoTarget. A target whose connections failed makes it NoTarget. For a pool without
 // targets it returns the zero Choice.
 func (a *Admitter) PoolRefusal(now identifier.Instant, id identifier.Pool) Choice {
 	if p := a.pools[id]; p != nil {
@@ -78,7 +78,7 @@
 // PoolRefusal does.
 func (p *pool) refusal(now identifier.Instant) Choice {
 	c := Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
-	earliest := identifier.Instant(0)
+	earliest, evacuated := identifier.Instant(0), false
 	for _, t := range p.targets {
 		d := t.admissionDecision(now)
 		if d.Open() || d.Reason == permitter.ConnectionsFailed {
@@ -87,8 +87,12 @@
 		if d.Until != 0 && (earliest == 0 || d.Until < earliest) {
 			earliest = d.Until
 		}
+		evacuated = evacuated || d.Reason == permitter.Evacuated
 	}
-	if earliest == 0 {
+	switch {
+	case earliest == 0 && evacuated:
+		return Choice{Refused: TargetsEvacuated, Wait: noTargetRetryAfter}
+	case earliest == 0:
 		return c
 	}
 	return Choice{Refused: TargetsPausing, Wait: earliest.Sub(now)}
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -14,7 +14,7 @@
 type pool struct {
 	// targets holds all targets, including those that leave.
 	targets []*targetState
-	// ring is the hash ring of the targets that are not listed as leaving.
+	// ring is the hash ring of the targets that are neither listed as leaving nor evacuated.
 	ring ring
 	// summarisedAt is when the fields below were computed, zero if they are out of date.
 	summarisedAt identifier.Instant
--- a/admitter/ring.go
+++ b/admitter/ring.go
@@ -45,9 +45,10 @@
 }
 
 // setTargets replaces the targets of the ring. The points of targets that stay are reused
-// unless the number of points per target changes.
-func (r *ring) setTargets(list []*targetState) {
-	perTarget := pointsFor(len(list))
+// unless the number of points per target changes. That number is set by total, which is
+// len(list) and the targets that are to return.
+func (r *ring) setTargets(list []*targetState, total int) {
+	perTarget := pointsFor(total)
 	remaining := make(map[identifier.Target]*targetState, len(list))
 	for _, t := range list {
 		remaining[t.ID] = t
--- a/admitter/ring_test.go
+++ b/admitter/ring_test.go
@@ -28,7 +28,7 @@
 
 func newRing(list []*targetState) *ring {
 	r := &ring{}
-	r.setTargets(list)
+	r.setTargets(list, len(list))
 	return r
 }
 
@@ -41,7 +41,7 @@
 		for i := 0; i < 6; i++ {
 			from := rapid.IntRange(0, 40).Draw(t, "from")
 			list = newTargetStates(from, from+rapid.IntRange(0, 60).Draw(t, "n"))
-			r.setTargets(list)
+			r.setTargets(list, len(list))
 		}
 		rebuilt := newRing(list)
 		if len(r.points) != len(rebuilt.points) {
--- a/permitter/admission.go
+++ b/permitter/admission.go
@@ -22,13 +22,15 @@
 	// RampingUp means that the target has as many requests as it is given this soon after
 	// a pause.
 	RampingUp Reason = "returns from a pause"
+	// Evacuated means that the operator has evacuated the data centre of the target.
+	Evacuated Reason = "data centre is evacuated"
 	// ConnectionsFailed means that connections to the target failed.
 	ConnectionsFailed Reason = "connections failed"
 )
 
 // Reasons returns all reasons but Open.
 func Reasons() []Reason {
-	return []Reason{ListedLeaving, ReportedLeaving, Pausing, RampingUp, ConnectionsFailed}
+	return []Reason{ListedLeaving, ReportedLeaving, Evacuated, Pausing, RampingUp, ConnectionsFailed}
 }
 
 // Decision is whether a target may be given new work, and why not.
@@ -77,6 +79,8 @@
 	// leavingSince is when the target first reported that it is leaving, zero if it has
 	// not. It is never reset.
 	leavingSince identifier.Instant
+	// evacuated is whether the data centre of the target is evacuated.
+	evacuated bool
 	// peerNoticeUntil is until when a peer's notice that the target is leaving counts.
 	peerNoticeUntil identifier.Instant
 	// pause is the pause that the target has asked for. Its end never moves back. jitter,
@@ -97,6 +101,8 @@
 		return Decision{Reason: ReportedLeaving, Since: s.leavingSince}
 	case s.listedLeaving:
 		return Decision{Reason: ListedLeaving}
+	case s.evacuated:
+		return Decision{Reason: Evacuated}
 	case now < s.pause.until:
 		return Decision{Reason: Pausing, Since: s.pause.since, Until: s.pause.until}
 	case now < s.backoff.until:
@@ -124,6 +130,12 @@
 // ListedLeaving reports whether the list of targets marks the target as leaving.
 func (s *AdmissionState) ListedLeaving() bool { return s.listedLeaving }
 
+// SetEvacuated records whether the data centre of the target is evacuated.
+func (s *AdmissionState) SetEvacuated(evacuated bool) { s.evacuated = evacuated }
+
+// Evacuated reports whether the data centre of the target is evacuated.
+func (s *AdmissionState) Evacuated() bool { return s.evacuated }
+
 // RecordLeaving records that the target has reported at the instant at that it is
 // leaving. It reports whether that is new.
 func (s *AdmissionState) RecordLeaving(at identifier.Instant) (isNew bool) {
--- a/permitter/admission_test.go
+++ b/permitter/admission_test.go
@@ -108,3 +108,19 @@
 	s.RecordConnectionFailure(now)
 	g.Expect(s.Decide(now, 0).Until.Sub(now)).To(Equal(initialBackoff))
 }
+
+// Guards against an evacuation that is undone by anything but its end, and against one that
+// hides that the target leaves, which decides whether its end is a crash.
+func TestEvacuationWithholdsWork(t *testing.T) {
+	g := NewWithT(t)
+	var s AdmissionState
+	s.SetEvacuated(true)
+	s.RecordAnswer()
+	s.RecordPause(second, time.Second, 0)
+	g.Expect(s.Decide(second, 0)).To(Equal(Decision{Reason: Evacuated}))
+	s.SetListedLeaving(true)
+	g.Expect(s.Decide(second, 0).Reason).To(Equal(ListedLeaving))
+	s.SetListedLeaving(false)
+	s.SetEvacuated(false)
+	g.Expect(s.Decide(2000*second, 0).Open()).To(BeTrue())
+}
