--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -320,5 +320,13 @@
 		delay = min(delay, maxRetryAfter)
 	}
 	delay += time.Duration(rand.Float64() * float64(delay) / 2)
-	return &errorAnswer{status: http.StatusServiceUnavailable, reason: "All targets are busy.", retryAfter: delay}
+	return &errorAnswer{status: http.StatusServiceUnavailable, reason: refusalText(choice.Refused), retryAfter: delay}
+}
+
+// refusalText returns the sentence by which a caller is told why its request is refused.
+func refusalText(r admitter.Refusal) string {
+	if r == admitter.TargetsEvacuated {
+		return "The data centres of all targets are evacuated."
+	}
+	return "All targets are busy."
 }
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -49,6 +49,7 @@
 			Name: "buckthorndrum_forwarder_targets_withheld", Help: "Targets that are given no new work.", ConstLabels: prometheus.Labels{"reason": string(r)},
 		}, func() float64 { return f.countWithheld(r) }))
 	}
+	m.gauge("buckthorndrum_forwarder_data_centres_evacuated", "Data centres that are evacuated.", func() float64 { return float64(len(f.EvacuatedDataCentres())) })
 	m.gauge("buckthorndrum_forwarder_peers", "Other routers heard lately.", func() float64 {
 		f.state.mu.Lock()
 		defer f.state.mu.Unlock()
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -99,13 +99,13 @@
 
 // afterNotRun decides what follows when target t did not run a request. It returns nil
 // if the request may be sent to another target, and an answer for the caller otherwise.
-// If no target of the pool takes requests and the first to take them again has asked
-// for a pause, the request ends at once and takes nothing from the retry budget.
+// If no target of the pool takes requests, as they pause or are evacuated, the request
+// ends at once and takes nothing from the retry budget.
 func (f *Forwarder) afterNotRun(c *call, t *selectedTarget) *errorAnswer {
 	f.state.mu.Lock()
 	choice := f.state.admitter.PoolRefusal(clocker.Coarse(), c.pool)
 	f.state.mu.Unlock()
-	if choice.Refused == admitter.TargetsPausing {
+	if choice.Refused == admitter.TargetsPausing || choice.Refused == admitter.TargetsEvacuated {
 		c.choice = choice
 		return f.correctStatus(c, busyAnswer(choice))
 	}
--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -42,6 +42,8 @@
 	crashChecks map[isolator.CrashID]*crashCheck
 	// limits holds the limits that listed targets have named.
 	limits map[identifier.Target]namedLimit
+	// evacuated holds the evacuated data centres.
+	evacuated map[identifier.DataCentre]bool
 	// peers is the number of other routers.
 	peers int
 	// fleetSizes are the numbers of other routers that were heard of late.
@@ -76,7 +78,7 @@
 		return false
 	}
 	f.state.snapshot.Store(s)
-	f.state.sharer.SetCapacity(s.Limits.TokensPerSecond)
+	f.state.updateCapacity()
 	return true
 }
 
@@ -116,6 +118,7 @@
 	f.state.dropLimits(addresses)
 	f.state.addresses = addresses
 	f.state.admitter.SetTargets(list)
+	f.state.updateCapacity()
 }
 
 // Targets returns the IDs of the listed targets, in no particular order.
--- a/sharer/sharer.go
+++ b/sharer/sharer.go
@@ -60,6 +60,10 @@
 // no limit.
 func (s *Sharer) SetCapacity(capacity float64) { s.capacity = capacity }
 
+// Capacity returns the rate that the workspaces share, in tokens per second. Zero means no
+// limit.
+func (s *Sharer) Capacity() float64 { return s.capacity }
+
 // RecordRequest records a request of workspace w, with its size in tokens. The part given
 // by the current admission ratio counts as admitted.
 func (s *Sharer) RecordRequest(now identifier.Instant, w identifier.Workspace, tokens int) {
