--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -113,6 +113,17 @@
 	}
 }
 
+// CountIn returns the number of targets in a data centre.
+func (t *Tracker) CountIn(zone identifier.DataCentre) int {
+	n := 0
+	for _, target := range t.targets {
+		if target.DataCentre == zone {
+			n++
+		}
+	}
+	return n
+}
+
 // Targets drops the targets whose entries are still missing at the end of the grace
 // period. It returns the others, sorted by ID, and true; if nothing has changed since the
 // last call it returns nil and false.
