--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -16,11 +16,12 @@
 	endDenied   = "denied"
 	endLeft     = "caller_left"
 
-	refusedNoTarget = "no target takes work"
-	refusedBusy     = "targets are busy"
-	refusedPausing  = "targets asked for a pause"
-	refusedLimited  = "targets are at their limits"
-	refusedBeyond   = "workspace is beyond its share"
+	refusedNoTarget  = "no target takes work"
+	refusedBusy      = "targets are busy"
+	refusedPausing   = "targets asked for a pause"
+	refusedLimited   = "targets are at their limits"
+	refusedEvacuated = "data centres of all targets are evacuated"
+	refusedBeyond    = "workspace is beyond its share"
 
 	reasonShort  = "This router is short of processor time."
 	reasonStale  = "The configuration may be out of date."
@@ -112,6 +113,15 @@
 		return "Bodies and answers in hand had taken all the memory that its router has for them; it was not run."
 	case strings.HasPrefix(l.Reason, reasonTrial):
 		return fmt.Sprintf("Part %s of its prompt had been running where a target crashed, and another request with it was being tried; it was not run.", partIn(l, reasonTrial))
+	case l.Refused != "":
+		return h.notChosen(l)
+	}
+	return notTaken(l)
+}
+
+// notChosen says why no target was chosen for a request.
+func (h *History) notChosen(l *Line) string {
+	switch {
 	case l.Refused == refusedBeyond:
 		return fmt.Sprintf("Its workspace was held back for the sake of another that was given less than half of what it asked for (standing %.2f); it was not run.", l.Standing)
 	case l.Refused == refusedBusy && l.Standing < 1:
@@ -123,9 +133,17 @@
 		return "Targets that would have been chosen had reached the rate of requests that they take, and no other had room; it was not run."
 	case l.Refused == refusedPausing:
 		return fmt.Sprintf("All targets of its pool that do not leave had asked for a pause, the shortest of which had %s left; it was not run.", l.Expected)
+	case l.Refused == refusedEvacuated:
+		return "The operator had evacuated the data centres of all targets that could have served it" + h.evacuated() + "; it was not run."
 	case l.Refused == refusedNoTarget:
 		return "No target of its pool took work" + h.changed() + "; it was not run."
-	case l.Sends > 0:
+	}
+	return notTaken(l)
+}
+
+// notTaken says why a request was not run for which no more particular cause is known.
+func notTaken(l *Line) string {
+	if l.Sends > 0 {
 		return fmt.Sprintf("None of its %d sendings was taken by a target%s: %s It was not run.", l.Sends, inStep(l), sentence(l.Reason))
 	}
 	return "It was refused: " + sentence(l.Reason) + " It was not run."
@@ -254,6 +272,16 @@
 	return ""
 }
 
+// evacuated tells which evacuation began last, if the logs say so.
+func (h *History) evacuated() string {
+	for i := len(h.Meanwhile) - 1; i >= 0; i-- {
+		if l := &h.Meanwhile[i]; l.Message == msgEvacuated {
+			return fmt.Sprintf(" (%s at %s)", l.DataCentre, clock(l.At))
+		}
+	}
+	return ""
+}
+
 // changed tells of the last change of targets.
 func (h *History) changed() string {
 	for i := len(h.Meanwhile) - 1; i >= 0; i-- {
--- a/explainer/line.go
+++ b/explainer/line.go
@@ -18,26 +18,27 @@
 	// Text is the line's object as it was written.
 	Text string `json:"-"`
 
-	Request    identifier.Request   `json:"request"`
-	Ending     string               `json:"ending"`
-	Status     int                  `json:"status"`
-	Workspace  identifier.Workspace `json:"workspace"`
-	Kind       string               `json:"kind"`
-	Took       duration             `json:"took"`
-	First      duration             `json:"first"`
-	ProofAge   duration             `json:"proof_age"`
-	Sends      int                  `json:"sends"`
-	Runs       int                  `json:"runs"`
-	MayHaveRun bool                 `json:"may_have_run"`
-	Target     identifier.Target    `json:"target"`
-	Targets    json.RawMessage      `json:"targets"`
-	Standing   float64              `json:"standing"`
-	Limit      duration             `json:"limit"`
-	Expected   duration             `json:"expected"`
-	Refused    string               `json:"refused"`
-	Reason     string               `json:"reason"`
-	Fault      string               `json:"fault"`
-	Revision   identifier.Revision  `json:"revision"`
+	Request    identifier.Request    `json:"request"`
+	Ending     string                `json:"ending"`
+	Status     int                   `json:"status"`
+	Workspace  identifier.Workspace  `json:"workspace"`
+	Kind       string                `json:"kind"`
+	Took       duration              `json:"took"`
+	First      duration              `json:"first"`
+	ProofAge   duration              `json:"proof_age"`
+	Sends      int                   `json:"sends"`
+	Runs       int                   `json:"runs"`
+	MayHaveRun bool                  `json:"may_have_run"`
+	Target     identifier.Target     `json:"target"`
+	Targets    json.RawMessage       `json:"targets"`
+	DataCentre identifier.DataCentre `json:"data_centre"`
+	Standing   float64               `json:"standing"`
+	Limit      duration              `json:"limit"`
+	Expected   duration              `json:"expected"`
+	Refused    string                `json:"refused"`
+	Reason     string                `json:"reason"`
+	Fault      string                `json:"fault"`
+	Revision   identifier.Revision   `json:"revision"`
 	// ReadSinceStop is when it was read, counted from the start of its router's stop.
 	ReadSinceStop duration `json:"read_since_stop"`
 	// TimeLeft is for how long its router still waited for it, and TimeNeeded how long it
@@ -53,13 +54,14 @@
 
 // The messages that are looked at.
 const (
-	msgEnded    = "request ended"
-	msgAgain    = "sending again"
-	msgLeftOut  = "lines left out"
-	msgShort    = "processor time is short"
-	msgStopping = "stopping"
-	msgTargets  = "targets changed"
-	msgLeaves   = "target leaves"
+	msgEnded     = "request ended"
+	msgAgain     = "sending again"
+	msgLeftOut   = "lines left out"
+	msgShort     = "processor time is short"
+	msgStopping  = "stopping"
+	msgTargets   = "targets changed"
+	msgLeaves    = "target leaves"
+	msgEvacuated = "data centre evacuated"
 )
 
 // duration is written as Go writes it, as 1.5s.
