--- a/cmd/buckthorndrum/main.go
+++ b/cmd/buckthorndrum/main.go
@@ -8,6 +8,7 @@
 	"io"
 	"os"
 	"os/signal"
+	"strconv"
 	"strings"
 	"syscall"
 
@@ -22,8 +23,17 @@
 	exitFailure  = 1
 	exitUsage    = 2
 	exitSettings = 3
+	// exitWarnings and exitErrors are codes of the subcommand inspect.
+	exitWarnings = 4
+	exitErrors   = 5
 )
 
+// exitCode is the exit code of a command that has printed all that there is to say.
+type exitCode int
+
+// Error implements error.
+func (e exitCode) Error() string { return "exit code " + strconv.Itoa(int(e)) }
+
 // settingsError marks an error in the settings.
 type settingsError struct{ err error }
 
@@ -62,9 +72,12 @@
 func report(err error, errOut io.Writer, code int) int {
 	var bad settingsError
 	var usage usageError
+	var silent exitCode
 	switch {
 	case err == nil:
 		return exitOK
+	case errors.As(err, &silent):
+		return int(silent)
 	case errors.Is(err, flag.ErrHelp):
 		return exitUsage
 	case errors.As(err, &usage):
@@ -93,7 +106,7 @@
 		Name:       "buckthorndrum",
 		ShortUsage: "buckthorndrum <subcommand> [flags]",
 		ShortHelp:  "a router fleet for workspaces that share capacity fairly",
-		LongHelp: `Exit codes: 0 success, 1 failure, 2 usage, 3 bad settings.
+		LongHelp: `Exit codes: 0 success, 1 failure, 2 usage, 3 bad settings; those of inspect are in its help.
 
 Every flag can also stand in the JSON file given by -settings, and in the
 environment as BUCKTHORNDRUM_<FLAG>, with - written as _.`,
@@ -105,6 +118,7 @@
 			newLocalCommand(out, errOut),
 			newStandinCommand(out, errOut),
 			newCheckCommand(out, errOut),
+			newInspectCommand(out, errOut),
 			newConfigCommand(out, errOut),
 			newStatusCommand(out, errOut),
 			newExplainCommand(out, errOut),
