--- a/inspector/finding.go
+++ b/inspector/finding.go
@@ -18,26 +18,48 @@
 
 // Kinds of a Finding. docs/operators.md has what each means and what to do.
 const (
-	NotJSON          Kind = "not-json"
-	WrongType        Kind = "wrong-type"
-	ValueIgnored     Kind = "value-ignored"
-	FieldRepeated    Kind = "field-repeated"
-	NameRepeated     Kind = "name-repeated"
-	RouteShadowed    Kind = "route-shadowed"
+	// NotJSON means that the file is not JSON, or its decoder refuses it for another
+	// reason than a value's type.
+	NotJSON Kind = "not-json"
+	// WrongType means that a value is of another JSON type than routers decode.
+	WrongType Kind = "wrong-type"
+	// ValueIgnored means that routers use another value in place of a malformed one.
+	ValueIgnored Kind = "value-ignored"
+	// FieldRepeated means that an object has a field twice.
+	FieldRepeated Kind = "field-repeated"
+	// NameRepeated means that two entries of one list have the same name.
+	NameRepeated Kind = "name-repeated"
+	// RouteShadowed means that an earlier route has the same host and prefix.
+	RouteShadowed Kind = "route-shadowed"
+	// RouteUnmatchable means that no request matches the host and prefix of a route.
 	RouteUnmatchable Kind = "route-unmatchable"
-	RouteUnserved    Kind = "route-unserved"
-	ServiceIgnored   Kind = "service-ignored"
-	ServiceUnknown   Kind = "service-unknown"
-	WeightZero       Kind = "weight-zero"
-	WeightNegative   Kind = "weight-negative"
-	KeyShared        Kind = "key-shared"
-	KeyRepeated      Kind = "key-repeated"
-	KeyEmpty         Kind = "key-empty"
-	NotPositive      Kind = "not-positive"
-	TimeoutTooShort  Kind = "timeout-too-short"
-	AttemptsTooMany  Kind = "attempts-too-many"
-	BodyTooLarge     Kind = "body-too-large"
+	// RouteUnserved means that a route has no service, or no weight above zero in all.
+	RouteUnserved Kind = "route-unserved"
+	// ServiceIgnored means that the service of a route with a traffic split is not used.
+	ServiceIgnored Kind = "service-ignored"
+	// ServiceUnknown means that a route names a service that is not in the list.
+	ServiceUnknown Kind = "service-unknown"
+	// WeightZero means that a part of a traffic split gets no requests.
+	WeightZero Kind = "weight-zero"
+	// WeightNegative means that a part of a traffic split has a negative weight.
+	WeightNegative Kind = "weight-negative"
+	// KeyShared means that two workspaces have the same API key.
+	KeyShared Kind = "key-shared"
+	// KeyRepeated means that a workspace has an API key twice.
+	KeyRepeated Kind = "key-repeated"
+	// KeyEmpty means that an API key is empty.
+	KeyEmpty Kind = "key-empty"
+	// NotPositive means that a time or rate is negative, or a size zero or negative.
+	NotPositive Kind = "not-positive"
+	// TimeoutTooShort means that an objective of a route exceeds its timeout.
+	TimeoutTooShort Kind = "timeout-too-short"
+	// AttemptsTooMany means that a route has more attempts than a service has targets.
+	AttemptsTooMany Kind = "attempts-too-many"
+	// BodyTooLarge means that bodies of the maximum size exceed the memory of an instance.
+	BodyTooLarge Kind = "body-too-large"
+	// WarmUpIncomplete means that a service has a warm-up rate without a duration, or the reverse.
 	WarmUpIncomplete Kind = "warm-up-incomplete"
+	// VersionNotHigher means that the version is not above the one in force.
 	VersionNotHigher Kind = "version-not-higher"
 )
 
