admitter: requests to targets that warm up need permits

Cause: a cold target crashes well above the rate that it handles, and all routers together, connected or not, must stay within it. Change: permitter.WarmUp holds for one target until when it is cold and this router's permits, with a random phase; cold periods begin with entries, answers, the end of an evacuation and refused connections. A choice prefers a cold target with a permit, StartAttempt takes it, and the check before the first byte rejects an attempt whose permit has expired. SetTargets takes the time.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 )
 
 // Request describes a request for which a target is chosen.
@@ -61,6 +62,9 @@
 	// TargetsEvacuated means that no target of the pool accepts work, that at least one is in
 	// an evacuated data centre, and that it is not known when another accepts work again.
 	TargetsEvacuated Refusal = "data centres of all targets are evacuated"
+	// TargetsWarmingUp means that no target of the pool accepts work, and that the first one
+	// to accept work again warms up and has its next permit then.
+	TargetsWarmingUp Refusal = "targets warm up"
 	// ShareExceeded means that the workspace has too much more than others. Choose does
 	// not return it; its caller sets it.
 	ShareExceeded Refusal = "workspace is beyond its share"
@@ -96,6 +100,12 @@
 	departed map[incarnation]identifier.Instant
 	// evacuated holds the evacuated data centres.
 	evacuated map[identifier.DataCentre]bool
+	// coldRates holds what the cold targets of pools stand, and pacing how often this router
+	// may send to them.
+	coldRates map[identifier.Pool]permitter.ColdRate
+	pacing    Pacing
+	// seed makes the phases of permits differ from those of other routers.
+	seed uint64
 	// processes is the number of routers, including this one.
 	processes int
 	// candidates is the buffer for the targets that one choice evaluates.
@@ -109,8 +119,9 @@
 
 // SetTargets replaces the list of targets. It keeps the state of a target whose address
 // and incarnation have not changed. Any other target begins with the mean latency of its
-// pool.
-func (a *Admitter) SetTargets(list []Target) {
+// pool. A cold period that an entry names begins at the instant now if the entry is new or
+// has changed.
+func (a *Admitter) SetTargets(now identifier.Instant, list []Target) {
 	next := make(map[identifier.Target]*targetState, len(list))
 	pools := map[identifier.Pool]*pool{}
 	initialLatency := map[identifier.Pool]latencyEstimate{}
@@ -121,11 +132,13 @@
 			pools[t.Pool] = p
 			initialLatency[t.Pool] = a.pools[t.Pool].meanLatency()
 		}
-		s := a.targets[t.ID]
+		old := a.targets[t.ID]
+		s := old
 		if s == nil || s.incarnation() != t.incarnation() {
 			s = &targetState{prefixes: prefixCache{}, latency: initialLatency[t.Pool]}
 			a.restoreDeparted(t, s)
 		}
+		a.applyEntry(now, old, s, t)
 		s.Target = t
 		s.admission.SetListedLeaving(t.Leaving)
 		s.admission.SetEvacuated(a.evacuated[t.DataCentre])
@@ -216,6 +229,9 @@
 	if len(list) == 0 {
 		return Choice{Refused: NoTarget}
 	}
+	if cold := warmingUpWithSlot(now, list, req.Seed); cold != nil {
+		return Choice{Target: cold.ID}
+	}
 	best, lowest := list[0], 0.0
 	for i, t := range list {
 		score := float64(t.totalLoad().Running) / float64(max(1, t.Slots))
@@ -243,6 +259,9 @@
 	prefillTokens int
 	startedAt     identifier.Instant
 	answerStarted bool
+	// permitUntil is until when the request may begin at a cold target, zero if the target
+	// was not cold when it was chosen.
+	permitUntil identifier.Instant
 }
 
 // StartAttempt records that a request is sent to target c.Target.
@@ -255,6 +274,7 @@
 	attempt.prefillTokens = t.totalLoad().PrefillTokens + c.PrefillTokens
 	t.ownLoad = t.ownLoad.add(attempt.load)
 	t.limit.RecordSent(now)
+	attempt.permitUntil = t.warmUp.TakePermit(now)
 	t.lastAttempt = now
 	if req.Model != "" {
 		t.prefixes.touch(now, prefixKeys(req.Model, req.Segments))
--- a/admitter/admitter_test.go
+++ b/admitter/admitter_test.go
@@ -20,7 +20,7 @@
 	for i := range targets {
 		targets[i] = Target{ID: identifier.Target(fmt.Sprintf("e%d", i)), Pool: "p", Slots: 8}
 	}
-	a.SetTargets(targets)
+	a.SetTargets(second, targets)
 	return a
 }
 
@@ -111,23 +111,23 @@
 func TestLeavingTargetsAreNotChosen(t *testing.T) {
 	g := NewWithT(t)
 	a := New()
-	a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Leaving: true}, {ID: "e1", Pool: "p", Slots: 4}})
+	a.SetTargets(second, []Target{{ID: "e0", Pool: "p", Slots: 4, Leaving: true}, {ID: "e1", Pool: "p", Slots: 4}})
 	for prefix := uint64(0); prefix < 20; prefix++ {
 		g.Expect(a.Choose(second, testRequest(prefix)).Target).To(BeEquivalentTo("e1"))
 	}
-	a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Leaving: true}})
+	a.SetTargets(second, []Target{{ID: "e0", Pool: "p", Slots: 4, Leaving: true}})
 	g.Expect(a.Choose(second, testRequest(1)).Refused).To(Equal(NoTarget))
 }
 
 func TestRestartedTargetHasEmptyPrefixCache(t *testing.T) {
 	g := NewWithT(t)
 	a := New()
-	a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Incarnation: 1}})
+	a.SetTargets(second, []Target{{ID: "e0", Pool: "p", Slots: 4, Incarnation: 1}})
 	a.EndAttempt(second, a.StartAttempt(second, testRequest(1), a.Choose(second, testRequest(1))), Answered)
 	g.Expect(a.targets["e0"].prefixes).NotTo(BeEmpty())
-	a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Incarnation: 1}})
+	a.SetTargets(second, []Target{{ID: "e0", Pool: "p", Slots: 4, Incarnation: 1}})
 	g.Expect(a.targets["e0"].prefixes).NotTo(BeEmpty())
-	a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Incarnation: 2}})
+	a.SetTargets(second, []Target{{ID: "e0", Pool: "p", Slots: 4, Incarnation: 2}})
 	g.Expect(a.targets["e0"].prefixes).To(BeEmpty())
 }
 
@@ -244,7 +244,7 @@
 	g := NewWithT(t)
 	a := New()
 	setTarget := func(incarnation int64) {
-		a.SetTargets([]Target{{ID: "e0", Pool: "p", Slots: 4, Incarnation: incarnation}})
+		a.SetTargets(second, []Target{{ID: "e0", Pool: "p", Slots: 4, Incarnation: incarnation}})
 	}
 	setTarget(1)
 	attempt := a.StartAttempt(second, testRequest(1), a.Choose(second, testRequest(1)))
--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -54,13 +54,17 @@
 // lowest cost, which consists of the queueing delay and the shared prefixes that would
 // have to be recomputed. Other targets than the preferred ones are considered only if
 // none of these has room and the workspace is within its share. A workspace beyond its
-// share has shared prefixes recomputed only while the pool has spare capacity.
+// share has shared prefixes recomputed only while the pool has spare capacity. A candidate
+// that warms up, for which this router has a permit, precedes all others.
 func (a *Admitter) chooseEngine(now identifier.Instant, p *pool, req Request) Choice {
 	keys := prefixKeys(req.Model, req.Segments)
 	candidates := a.ringCandidates(now, p, req, keys)
 	if len(candidates) == 0 {
 		return Choice{Refused: NoTarget}
 	}
+	if cold := firstWarmingUp(now, candidates, req); cold != nil {
+		return Choice{Target: cold.target.ID, Wait: cold.wait, PrefillTokens: cold.prefillTokens}
+	}
 	preferred := min(len(candidates), maxPreferredTargets)
 	spareCapacity := req.WithinShare || p.meanQueueDelay <= spareQueuePercent*req.MaxWait/100
 	best := cheapest(candidates[:preferred], req, spareCapacity)
--- a/admitter/evacuate.go
+++ b/admitter/evacuate.go
@@ -2,11 +2,14 @@
 
 import (
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 )
 
 // SetEvacuated replaces the set of evacuated data centres, whose targets are given no new
-// work. It keeps the set, and applies it to targets that are listed later.
-func (a *Admitter) SetEvacuated(evacuated map[identifier.DataCentre]bool) {
+// work. It keeps the set, and applies it to targets that are listed later. The targets of a
+// data centre whose evacuation ends count as cold: they had no traffic meanwhile, and their
+// entries may show only later that they are cold.
+func (a *Admitter) SetEvacuated(now identifier.Instant, evacuated map[identifier.DataCentre]bool) {
 	a.evacuated = evacuated
 	for _, p := range a.pools {
 		changed := false
@@ -14,6 +17,9 @@
 			if was, is := t.admission.Evacuated(), evacuated[t.DataCentre]; was != is {
 				t.admission.SetEvacuated(is)
 				changed = true
+				if was {
+					t.warmUp.RecordCold(now, a.coldRates[t.Pool].Duration, permitter.ColdByEvacuation, a.phase(now, t.ID))
+				}
 			}
 		}
 		if changed {
--- a/admitter/evacuate_test.go
+++ b/admitter/evacuate_test.go
@@ -22,7 +22,7 @@
 		targets[i] = Target{ID: identifier.Target(fmt.Sprintf("e%d", i)), Pool: "p", Slots: 8, DataCentre: zone}
 	}
 	a := New()
-	a.SetTargets(targets)
+	a.SetTargets(second, targets)
 	return a, targets
 }
 
@@ -50,10 +50,10 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			a, targets := newZones(6)
-			a.SetEvacuated(zones("a"))
+			a.SetEvacuated(second, zones("a"))
 			for seed := range uint64(200) {
 				if seed == 100 {
-					a.SetTargets(targets)
+					a.SetTargets(second, targets)
 				}
 				r := req
 				r.Seed = seed
@@ -67,9 +67,9 @@
 				g.Expect(c.Refused).To(BeEmpty())
 				g.Expect(a.targets[c.Target].DataCentre).To(BeEquivalentTo("b"))
 			}
-			a.SetEvacuated(zones("a", "b", "unknown"))
+			a.SetEvacuated(second, zones("a", "b", "unknown"))
 			g.Expect(a.Choose(second, req).Refused).To(Equal(TargetsEvacuated))
-			a.SetEvacuated(nil)
+			a.SetEvacuated(second, nil)
 			g.Expect(a.Choose(second, req).Refused).To(BeEmpty(), "the evacuations have ended")
 		})
 	}
@@ -83,13 +83,13 @@
 	for prefix := range uint64(300) {
 		before[prefix] = a.Choose(second, testRequest(prefix)).Target
 	}
-	a.SetEvacuated(zones("a"))
+	a.SetEvacuated(second, zones("a"))
 	for prefix, target := range before {
 		if a.targets[target].DataCentre == "b" {
 			g.Expect(a.Choose(second, testRequest(prefix)).Target).To(Equal(target))
 		}
 	}
-	a.SetEvacuated(zones())
+	a.SetEvacuated(second, zones())
 	for prefix, target := range before {
 		g.Expect(a.Choose(second, testRequest(prefix)).Target).To(Equal(target), "after the end all are as before")
 	}
@@ -102,7 +102,7 @@
 	a, _ := newZones(1)
 	attempt := a.StartAttempt(second, testRequest(1), a.Choose(second, testRequest(1)))
 	g.Expect(a.RecheckAdmission(second, attempt).Open()).To(BeTrue())
-	a.SetEvacuated(zones("a"))
+	a.SetEvacuated(second, zones("a"))
 	g.Expect(a.RecheckAdmission(second, attempt).Reason).To(Equal(permitter.Evacuated))
 	g.Expect(a.CountUnavailable(second)).To(Equal(map[permitter.Reason]int{permitter.Evacuated: 1}))
 	g.Expect(a.LeavingReports(second)).To(BeEmpty(), "others are told nothing: each router reads the store")
@@ -113,7 +113,7 @@
 func TestRefusalOfEvacuatedAndPausingTargets(t *testing.T) {
 	g := NewWithT(t)
 	a, _ := newZones(2)
-	a.SetEvacuated(zones("b"))
+	a.SetEvacuated(second, zones("b"))
 	attempt := a.StartAttempt(second, testRequest(1), Choice{Target: "e0"})
 	a.ApplyNotice(second, attempt, TargetNotice{Pause: permitter.DefaultPause}, 0)
 	g.Expect(a.Choose(second, testRequest(1)).Refused).To(Equal(TargetsPausing))
@@ -127,12 +127,12 @@
 	a, targets := newZones(4)
 	targets[1].Slots = 16
 	targets = append(targets, Target{ID: "plain", Pool: "other", Slots: 100, DataCentre: "b"})
-	a.SetTargets(targets)
+	a.SetTargets(second, targets)
 	isPool := func(p identifier.Pool) bool { return p == "p" }
 	g.Expect(a.AvailableSlots(isPool)).To(Equal(1.0))
-	a.SetEvacuated(zones("b"))
+	a.SetEvacuated(second, zones("b"))
 	g.Expect(a.AvailableSlots(isPool)).To(Equal(0.4))
-	a.SetEvacuated(zones("a", "b"))
+	a.SetEvacuated(second, zones("a", "b"))
 	g.Expect(a.AvailableSlots(isPool)).To(Equal(0.0))
 	g.Expect(a.AvailableSlots(func(identifier.Pool) bool { return false })).To(Equal(1.0))
 }
--- a/admitter/isolate.go
+++ b/admitter/isolate.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 )
 
 // isolatedRetryAfter is how long a request is to wait whose only target takes no work.
@@ -20,6 +21,9 @@
 	if only == nil {
 		return Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
 	}
+	if d := only.admissionDecision(now); d.Reason == permitter.WarmingUp {
+		return Choice{Refused: TargetsWarmingUp, Wait: max(isolatedRetryAfter, d.Until.Sub(now))}
+	}
 	if !eligible(now, only, req.Exclude) {
 		return Choice{Refused: TargetsBusy, Wait: isolatedRetryAfter}
 	}
--- a/admitter/notice.go
+++ b/admitter/notice.go
@@ -42,14 +42,18 @@
 }
 
 // RecheckAdmission decides whether a request may still be sent to the target that was
-// chosen for it. The attempt itself, which already counts as running, is not counted. If
-// the target was not listed the request may be sent.
+// chosen for it. The attempt itself, which already counts as running, is not counted, and the
+// permit that it took counts as its own. If the target was not listed the request may be
+// sent.
 func (a *Admitter) RecheckAdmission(now identifier.Instant, attempt *Attempt) permitter.Decision {
 	t := attempt.target
 	if t == nil {
 		return permitter.Decision{}
 	}
-	return t.admission.Decide(now, t.ownLoad.Running-attempt.load.Running)
+	if d := t.admission.Decide(now, t.ownLoad.Running-attempt.load.Running); !d.Open() {
+		return d
+	}
+	return t.warmUp.Recheck(now, attempt.permitUntil)
 }
 
 // CountUnavailable counts the targets that are given no new work, by reason.
@@ -64,8 +68,8 @@
 }
 
 // PoolRefusal returns the refusal of requests that no target of a pool can take:
-// TargetsPausing if no target accepts work and it is known when the first one will, else
-// TargetsEvacuated if one of them is evacuated, else NoTarget. A target whose connections failed makes it NoTarget. For a pool without
+// TargetsPausing or TargetsWarmingUp if no target accepts work and it is known when the first
+// one will, else TargetsEvacuated if one of them is evacuated, else NoTarget. A target whose connections failed makes it NoTarget. For a pool without
 // targets it returns the zero Choice.
 func (a *Admitter) PoolRefusal(now identifier.Instant, id identifier.Pool) Choice {
 	if p := a.pools[id]; p != nil {
@@ -78,14 +82,17 @@
 // PoolRefusal does.
 func (p *pool) refusal(now identifier.Instant) Choice {
 	c := Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
-	earliest, evacuated := identifier.Instant(0), false
+	earliest, evacuated, kind := identifier.Instant(0), false, TargetsPausing
 	for _, t := range p.targets {
 		d := t.admissionDecision(now)
 		if d.Open() || d.Reason == permitter.ConnectionsFailed {
 			return c
 		}
 		if d.Until != 0 && (earliest == 0 || d.Until < earliest) {
-			earliest = d.Until
+			earliest, kind = d.Until, TargetsPausing
+			if d.Reason == permitter.WarmingUp {
+				kind = TargetsWarmingUp
+			}
 		}
 		evacuated = evacuated || d.Reason == permitter.Evacuated
 	}
@@ -95,7 +102,7 @@
 	case earliest == 0:
 		return c
 	}
-	return Choice{Refused: TargetsPausing, Wait: earliest.Sub(now)}
+	return Choice{Refused: kind, Wait: earliest.Sub(now)}
 }
 
 // departedTTL is how long an incarnation is remembered that has announced that it leaves
--- a/admitter/ring_test.go
+++ b/admitter/ring_test.go
@@ -168,13 +168,13 @@
 				targets[i] = Target{ID: identifier.Target(fmt.Sprintf("e%d", i)), Pool: "p", Slots: 8}
 			}
 			a := New()
-			a.SetTargets(targets)
+			a.SetTargets(second, targets)
 			b.ReportAllocs()
 			b.ResetTimer()
 			for i := 0; i < b.N; i++ {
 				targets[i%n].Incarnation++
 				targets[i%n].Leaving = !targets[i%n].Leaving
-				a.SetTargets(targets)
+				a.SetTargets(second, targets)
 			}
 		})
 	}
--- a/admitter/target.go
+++ b/admitter/target.go
@@ -19,6 +19,9 @@
 	DataCentre identifier.DataCentre
 	// Leaving reports whether it is listed as leaving, that is, takes no new work.
 	Leaving bool
+	// ColdLeft is for how long it was still cold when its entry was written, zero if the
+	// entry does not say.
+	ColdLeft time.Duration
 	// Incarnation changes when the target restarts with empty caches; a later incarnation
 	// has a higher number. It is zero if it is not known.
 	Incarnation int64
@@ -64,6 +67,10 @@
 	admission permitter.AdmissionState
 	// limit keeps the requests of all routers to the rate that it names.
 	limit permitter.SharedLimit
+	// warmUp paces the requests to it while it is cold.
+	warmUp permitter.WarmUp
+	// reportedCold is set if WarmUpChanges has last reported that it is cold.
+	reportedCold bool
 	// failureRate is the smoothed fraction of answers that are failures.
 	failureRate float64
 	// lastAttempt is when the target was last given a request.
@@ -75,7 +82,10 @@
 
 // admissionDecision returns whether the target may be given work, and the reason if not.
 func (t *targetState) admissionDecision(now identifier.Instant) permitter.Decision {
-	return t.admission.Decide(now, t.ownLoad.Running)
+	if d := t.admission.Decide(now, t.ownLoad.Running); !d.Open() {
+		return d
+	}
+	return t.warmUp.Decide(now)
 }
 
 // acceptsWork reports whether the target may be given work.
--- a/permitter/admission.go
+++ b/permitter/admission.go
@@ -24,13 +24,15 @@
 	RampingUp Reason = "returns from a pause"
 	// Evacuated means that the operator has evacuated the data centre of the target.
 	Evacuated Reason = "data centre is evacuated"
+	// WarmingUp means that the target is cold and that the process has no permit for it.
+	WarmingUp Reason = "warms up"
 	// ConnectionsFailed means that connections to the target failed.
 	ConnectionsFailed Reason = "connections failed"
 )
 
 // Reasons returns all reasons but Open.
 func Reasons() []Reason {
-	return []Reason{ListedLeaving, ReportedLeaving, Evacuated, Pausing, RampingUp, ConnectionsFailed}
+	return []Reason{ListedLeaving, ReportedLeaving, Evacuated, Pausing, RampingUp, WarmingUp, ConnectionsFailed}
 }
 
 // Decision is whether a target may be given new work, and why not.
