forwarder: cold targets are paced, logged and refused by name

Cause: the admitter must know the number of routers, the rates of the configuration and what answers and connections say of cold targets.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -31,6 +31,7 @@
 	a, err := f.conns.Do(ctx, f.exchangeCall(c, t))
 	if err != nil {
 		result = f.connResult(ctx, err)
+		f.noteRefusal(t, err)
 		return false, f.afterNoAnswer(ctx, c, t, err)
 	}
 	info := f.cfg.Dialect.ReadAnswer(a.Status, a.Header)
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -325,8 +325,12 @@
 
 // refusalText returns the sentence by which a caller is told why its request is refused.
 func refusalText(r admitter.Refusal) string {
-	if r == admitter.TargetsEvacuated {
+	switch r {
+	case admitter.TargetsEvacuated:
 		return "The data centres of all targets are evacuated."
+	case admitter.TargetsWarmingUp:
+		return "All targets warm up."
+	default:
+		return "All targets are busy."
 	}
-	return "All targets are busy."
 }
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -175,6 +175,9 @@
 		f.log.Info("target broke off and has not crashed", zap.String("target", string(t.ID)), reporter.Error(err))
 		return
 	}
+	f.state.mu.Lock()
+	f.state.admitter.RecordRefused(clocker.Coarse(), t)
+	f.state.mu.Unlock()
 	if k.leaving {
 		f.log.Info("leaving target has ended", zap.String("target", string(t.ID)))
 		return
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -66,6 +66,8 @@
 	Leaving bool
 	// Limit is the rate of requests that the target wants from all routers together.
 	Limit permitter.Limit
+	// Cold is for how long the target says that it is cold.
+	Cold permitter.ColdNotice
 	// Pause is how long the target wants no new requests. It is read from answers that
 	// reject the request.
 	Pause permitter.Pause
--- a/forwarder/evacuate.go
+++ b/forwarder/evacuate.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 
+	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
 )
 
@@ -13,7 +14,7 @@
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
 	f.state.evacuated = evacuated
-	f.state.admitter.SetEvacuated(evacuated)
+	f.state.admitter.SetEvacuated(clocker.Now(), evacuated)
 	f.state.updateCapacity()
 }
 
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -63,7 +63,7 @@
 
 func (testDialect) ReadAnswer(status int, h http.Header) AnswerInfo {
 	return AnswerInfo{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Genuine: h.Get("Seal") != "",
-		Leaving: h.Get("Leaving") != "", Pause: permitter.ParsePause(h["Pause"]), Limit: permitter.ParseLimit(h["Limit"])}
+		Leaving: h.Get("Leaving") != "", Pause: permitter.ParsePause(h["Pause"]), Limit: permitter.ParseLimit(h["Limit"]), Cold: permitter.ParseCold(h["Cold"])}
 }
 
 // receivedRequest is a request as a target received it.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -13,6 +13,7 @@
 	"buckthorndrum/clocker"
 	"buckthorndrum/exchanger"
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 	"buckthorndrum/reporter"
 )
 
@@ -40,6 +41,8 @@
 	// which keys are accepted. Zero requires no proof.
 	MaxProofAge time.Duration
 	RetryBudget RetryBudget
+	// ColdBound bounds the requests that all routers together send to a cold target.
+	ColdBound permitter.ColdBound
 }
 
 // check returns an error for the first tunable that is invalid.
@@ -99,6 +102,8 @@
 	overload  overload
 	durations durations
 	log       *zap.Logger
+	// startedAt is when the forwarder started.
+	startedAt identifier.Instant
 	ctx       context.Context
 	cancel    context.CancelFunc
 	// requestCtx is the parent context of all requests in flight. cancelRequests ends
@@ -132,6 +137,7 @@
 		callers:        acceptor.NewConnTracker(cfg.MaxCallers),
 		newerPositions: make(chan int64, 1),
 		serveDone:      make(chan struct{}),
+		startedAt:      clocker.Now(),
 		done:           make(chan struct{}),
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
@@ -139,6 +145,7 @@
 	f.listener = l
 	f.memory.limit = cfg.MaxBufferedBytes
 	f.metrics = newMetrics(f)
+	f.updatePacing(f.startedAt)
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headerTimeout,
@@ -187,6 +194,8 @@
 	f.callers.CloseIdle(now, f.idleTimeout())
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
+	f.updatePacing(now)
+	f.logWarmUps(now)
 	f.state.admitter.Tick(now)
 	f.tickIsolator(now)
 }
--- a/forwarder/limit.go
+++ b/forwarder/limit.go
@@ -52,9 +52,10 @@
 // fleetMemory is how long a router that is no longer heard is taken to send requests still.
 const fleetMemory = 10 * time.Second
 
-// fleetSizes remembers the most routers that were heard within fleetMemory and, in part,
-// up to twice that. The zero value has heard none.
+// fleetSizes remembers the most routers that were heard within memory and, in part, up to
+// twice that.
 type fleetSizes struct {
+	memory time.Duration
 	// startedAt is when a number was recorded for the first time, and since from when on
 	// current holds the most.
 	startedAt, since  identifier.Instant
@@ -66,19 +67,22 @@
 	if s.startedAt == 0 {
 		s.startedAt, s.since = now, now
 	}
-	if now.Sub(s.since) > fleetMemory {
+	if now.Sub(s.since) > s.memory {
 		s.since, s.previous, s.current = now, s.current, 0
 	}
 	s.current = max(s.current, peers)
 }
 
+// most returns the most routers that were heard, without this one.
+func (s *fleetSizes) most() int { return max(s.current, s.previous) }
+
 // processes returns the number of routers that may send to a target, including this one.
 // A router that has just started and hears no other assumes defaultFleetSize. The caller
 // holds f.state.mu.
 func (f *Forwarder) processes(now identifier.Instant) int {
 	s := &f.state.fleetSizes
 	s.record(now, f.state.peers)
-	most := max(s.current, s.previous)
+	most := s.most()
 	if most == 0 && now.Sub(s.startedAt) <= fleetMemory {
 		return defaultFleetSize
 	}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -22,6 +22,7 @@
 	noticeLimit     = "limit"
 
 	noticeMalformedLimit = "malformed_limit"
+	noticeMalformedCold  = "malformed_cold"
 )
 
 // applyNotice applies what a target's answer says about the work that it accepts: that
@@ -30,6 +31,7 @@
 func (f *Forwarder) applyNotice(t *selectedTarget, info AnswerInfo) {
 	if !info.Misdirected {
 		f.noteLimit(t, info.Limit)
+		f.noteResponse(t, info.Cold)
 	}
 	if info.Misdirected || !info.Leaving && info.Pause == (permitter.Pause{}) {
 		return
@@ -99,13 +101,14 @@
 
 // afterNotRun decides what follows when target t did not run a request. It returns nil
 // if the request may be sent to another target, and an answer for the caller otherwise.
-// If no target of the pool takes requests, as they pause or are evacuated, the request
-// ends at once and takes nothing from the retry budget.
+// If no target of the pool takes requests, as they pause, warm up or are evacuated, the
+// request ends at once and takes nothing from the retry budget.
 func (f *Forwarder) afterNotRun(c *call, t *selectedTarget) *errorAnswer {
 	f.state.mu.Lock()
 	choice := f.state.admitter.PoolRefusal(clocker.Coarse(), c.pool)
 	f.state.mu.Unlock()
-	if choice.Refused == admitter.TargetsPausing || choice.Refused == admitter.TargetsEvacuated {
+	switch choice.Refused {
+	case admitter.TargetsPausing, admitter.TargetsEvacuated, admitter.TargetsWarmingUp:
 		c.choice = choice
 		return f.correctStatus(c, busyAnswer(choice))
 	}
--- a/forwarder/snapshot.go
+++ b/forwarder/snapshot.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 )
 
 // Snapshot is one revision of the configuration, indexed for lookups. It is immutable.
@@ -15,6 +16,8 @@
 	Limits   Limits
 	pools    map[identifier.Pool]Pool
 	keys     map[string]identifier.Workspace
+	// coldRates holds what cold targets of the pools that have such stand.
+	coldRates map[identifier.Pool]permitter.ColdRate
 	// routes holds the routes of each host, the longest path prefix first.
 	routes map[string][]*Route
 }
@@ -72,6 +75,8 @@
 	Engine bool
 	// MemoryTokens is the memory of one engine, in tokens.
 	MemoryTokens int
+	// Cold is what the targets stand while they are cold.
+	Cold permitter.ColdRate
 }
 
 // Workspace is a customer with its keys.
@@ -85,14 +90,18 @@
 // NewSnapshot returns a snapshot of a configuration. It keeps pointers into routes.
 func NewSnapshot(r identifier.Revision, l Limits, routes []Route, pools []Pool, workspaces []Workspace) *Snapshot {
 	s := &Snapshot{
-		Revision: r,
-		Limits:   l,
-		pools:    map[identifier.Pool]Pool{},
-		keys:     map[string]identifier.Workspace{},
-		routes:   map[string][]*Route{},
+		Revision:  r,
+		Limits:    l,
+		pools:     map[identifier.Pool]Pool{},
+		keys:      map[string]identifier.Workspace{},
+		routes:    map[string][]*Route{},
+		coldRates: map[identifier.Pool]permitter.ColdRate{},
 	}
 	for _, p := range pools {
 		s.pools[p.ID] = p
+		if p.Cold != (permitter.ColdRate{}) {
+			s.coldRates[p.ID] = p.Cold
+		}
 	}
 	for _, w := range workspaces {
 		for _, k := range w.Keys {
@@ -132,6 +141,9 @@
 	return strings.ToLower(host)
 }
 
+// ColdRate returns what cold targets of a pool stand, zero if its targets are never cold.
+func (s *Snapshot) ColdRate(id identifier.Pool) permitter.ColdRate { return s.coldRates[id] }
+
 // WorkspaceOf returns the workspace to which a key belongs, and whether there is one.
 func (s *Snapshot) WorkspaceOf(key string) (identifier.Workspace, bool) {
 	w, ok := s.keys[key]
--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"buckthorndrum/admitter"
+	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
 	"buckthorndrum/isolator"
 	"buckthorndrum/sharer"
@@ -42,12 +44,17 @@
 	crashChecks map[isolator.CrashID]*crashCheck
 	// limits holds the limits that listed targets have named.
 	limits map[identifier.Target]namedLimit
+	// malformedColds holds the listed targets that have said how long they are cold in a
+	// way that could not be parsed.
+	malformedColds map[identifier.Target]bool
 	// evacuated holds the evacuated data centres.
 	evacuated map[identifier.DataCentre]bool
 	// peers is the number of other routers.
 	peers int
-	// fleetSizes are the numbers of other routers that were heard of late.
-	fleetSizes fleetSizes
+	// fleetSizes are the numbers of other routers that were heard of late, and warmUpFleet
+	// those that count for cold targets.
+	fleetSizes  fleetSizes
+	warmUpFleet fleetSizes
 	// maxPeers is the highest value that peers was seen to have. Routers that are out
 	// of contact still use their part of a retry budget.
 	maxPeers int
@@ -61,10 +68,14 @@
 		retryCounters:   map[identifier.Pool]*retryCounter{},
 		malformedPauses: map[identifier.Target]bool{},
 		limits:          map[identifier.Target]namedLimit{},
+		malformedColds:  map[identifier.Target]bool{},
 		isolator:        isolator.New(),
+		fleetSizes:      fleetSizes{memory: fleetMemory},
+		warmUpFleet:     fleetSizes{memory: warmUpFleetMemory},
 		crashChecks:     map[isolator.CrashID]*crashCheck{},
 	}
 	b.admitter.SetProcesses(defaultFleetSize)
+	b.admitter.SetSeed(rand.Uint64())
 	b.tunables.Store(&t)
 	return b
 }
@@ -78,6 +89,7 @@
 		return false
 	}
 	f.state.snapshot.Store(s)
+	f.state.admitter.SetColdRates(clocker.Now(), s.coldRates)
 	f.state.updateCapacity()
 	return true
 }
@@ -113,11 +125,12 @@
 		if addresses[id] == "" {
 			f.conns.CloseIdle(address)
 			delete(f.state.malformedPauses, id)
+			delete(f.state.malformedColds, id)
 		}
 	}
 	f.state.dropLimits(addresses)
 	f.state.addresses = addresses
-	f.state.admitter.SetTargets(list)
+	f.state.admitter.SetTargets(clocker.Now(), list)
 	f.state.updateCapacity()
 }
 
