--- a/explainer/cause.go
+++ b/explainer/cause.go
@@ -21,6 +21,7 @@
 	refusedPausing   = "targets asked for a pause"
 	refusedLimited   = "targets are at their limits"
 	refusedEvacuated = "data centres of all targets are evacuated"
+	refusedWarmingUp = "targets warm up"
 	refusedBeyond    = "workspace is beyond its share"
 
 	reasonShort  = "This router is short of processor time."
@@ -135,6 +136,8 @@
 		return fmt.Sprintf("All targets of its pool that do not leave had asked for a pause, the shortest of which had %s left; it was not run.", l.Expected)
 	case l.Refused == refusedEvacuated:
 		return "The operator had evacuated the data centres of all targets that could have served it" + h.evacuated() + "; it was not run."
+	case l.Refused == refusedWarmingUp:
+		return fmt.Sprintf("All targets that could have served it were warming up, and its router was to send none of them a request for another %s; it was not run.", l.Expected)
 	case l.Refused == refusedNoTarget:
 		return "No target of its pool took work" + h.changed() + "; it was not run."
 	}
--- a/explainer/explainer_test.go
+++ b/explainer/explainer_test.go
@@ -49,6 +49,7 @@
 		"limited":   "Targets that would have been chosen had reached the rate of requests that they take, and no other had room; it was not run.",
 		"pausing":   "All targets of its pool that do not leave had asked for a pause, the shortest of which had 3.2s left; it was not run.",
 		"evacuated": "The operator had evacuated the data centres of all targets that could have served it (a at 10:02:29.000); it was not run.",
+		"warming":   "All targets that could have served it were warming up, and its router was to send none of them a request for another 412ms; it was not run.",
 		"left":      "No target of its pool took work (target t2 said at 10:03:00.000 that it leaves); it was not run.",
 		"killed":    "Its router wrote of it but not of its end: it was killed with the request in hand, or it still has it.",
 		"none":      "No router wrote of it. They left out 40 lines, and it may be among these.",
