admitter: requests stay in their allowed regions

Cause: routes and workspaces may restrict the regions in which their requests are processed. Change: permitter.RegionSet; a target in another region, or in one that is not known, is passed over for engines, plain services and isolated requests, and the refusal says so if none is left.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -36,6 +36,8 @@
 	// Crashed are the targets that have crashed under what isolates the request. It goes to
 	// one of them only if there is no other.
 	Crashed []identifier.Target
+	// AllowedRegions are the regions of the targets that may be given the request.
+	AllowedRegions permitter.RegionSet
 	// LocalDataCentre is the data centre of the router.
 	LocalDataCentre identifier.DataCentre
 	// Seed breaks ties between the targets of a plain service. For a prompt without a
@@ -65,6 +67,8 @@
 	// TargetsWarmingUp means that no target of the pool accepts work, and that the first one
 	// to accept work again warms up and has its next permit then.
 	TargetsWarmingUp Refusal = "targets warm up"
+	// TargetsDisallowed means that no target of the pool is in an allowed region.
+	TargetsDisallowed Refusal = "no target is in an allowed region"
 	// ShareExceeded means that the workspace has too much more than others. Choose does
 	// not return it; its caller sets it.
 	ShareExceeded Refusal = "workspace is beyond its share"
@@ -188,7 +192,7 @@
 		case c.Refused != "" && limited:
 			return Choice{Refused: TargetsLimited, Wait: max(c.Wait, limitedRetryAfter)}
 		case c.Refused == NoTarget:
-			return p.refusal(now)
+			return p.refusal(now, req.AllowedRegions)
 		case c.Refused != "" || a.underLimit(now, req, c.Target):
 			return c
 		}
@@ -225,7 +229,7 @@
 // chooseLeastLoaded chooses the least loaded target of a service that does not process
 // prompts.
 func (p *pool) chooseLeastLoaded(now identifier.Instant, req Request) Choice {
-	list := p.eligibleTargets(now, req.Exclude)
+	list := p.eligibleTargets(now, &req)
 	if len(list) == 0 {
 		return Choice{Refused: NoTarget}
 	}
--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -85,13 +85,13 @@
 	visits := 0
 	p.ring.walk(ringKey(keys, req.Seed), func(t *targetState) bool {
 		visits++
-		if !a.isCandidate(t) && eligible(now, t, req.Exclude) && p.healthy(now, t) {
+		if !a.isCandidate(t) && eligible(now, t, &req) && p.healthy(now, t) {
 			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
 		}
 		return len(a.candidates) < maxRingCandidates && visits < maxRingVisits
 	})
 	if len(a.candidates) == 0 {
-		for _, t := range p.eligibleTargets(now, req.Exclude) {
+		for _, t := range p.eligibleTargets(now, &req) {
 			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
 		}
 	}
@@ -121,7 +121,7 @@
 // candidates, and returns all candidates.
 func (a *Admitter) addShortestQueues(now identifier.Instant, p *pool, req Request, keys []prefixKey) []candidate {
 	for _, t := range p.shortestQueues {
-		if !a.isCandidate(t) && eligible(now, t, req.Exclude) && p.healthy(now, t) {
+		if !a.isCandidate(t) && eligible(now, t, &req) && p.healthy(now, t) {
 			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
 		}
 	}
--- a/admitter/isolate.go
+++ b/admitter/isolate.go
@@ -24,7 +24,7 @@
 	if d := only.admissionDecision(now); d.Reason == permitter.WarmingUp {
 		return Choice{Refused: TargetsWarmingUp, Wait: max(isolatedRetryAfter, d.Until.Sub(now))}
 	}
-	if !eligible(now, only, req.Exclude) {
+	if !eligible(now, only, &req) {
 		return Choice{Refused: TargetsBusy, Wait: isolatedRetryAfter}
 	}
 	c := a.evaluate(now, only, req, prefixKeys(req.Model, req.Segments), 0)
@@ -34,14 +34,14 @@
 	return Choice{Target: only.ID, Wait: c.wait, PrefillTokens: c.prefillTokens}
 }
 
-// isolatedTarget returns the one target for a request that is isolated, nil if all leave or
-// are evacuated.
+// isolatedTarget returns the one target for a request that is isolated, nil if all leave, are
+// evacuated or not allowed.
 func isolatedTarget(p *pool, req Request) *targetState {
 	var only *targetState
 	var highest uint64
 	onlyCrashed := false
 	for _, t := range p.targets {
-		if t.admission.ListedLeaving() || t.admission.LeavingSince() != 0 || t.admission.Evacuated() {
+		if t.admission.ListedLeaving() || t.admission.LeavingSince() != 0 || t.admission.Evacuated() || !req.AllowedRegions.Allows(t.Region) {
 			continue
 		}
 		crashed := slices.Contains(req.Crashed, t.ID)
--- a/admitter/notice.go
+++ b/admitter/notice.go
@@ -67,23 +67,29 @@
 	return counts
 }
 
-// PoolRefusal returns the refusal of requests that no target of a pool can take:
+// PoolRefusal returns the refusal of requests that no target of a pool in an allowed region
+// can take: TargetsDisallowed if there is none,
 // TargetsPausing or TargetsWarmingUp if no target accepts work and it is known when the first
 // one will, else TargetsEvacuated if one of them is evacuated, else NoTarget. A target whose connections failed makes it NoTarget. For a pool without
 // targets it returns the zero Choice.
-func (a *Admitter) PoolRefusal(now identifier.Instant, id identifier.Pool) Choice {
+func (a *Admitter) PoolRefusal(now identifier.Instant, id identifier.Pool, allowed permitter.RegionSet) Choice {
 	if p := a.pools[id]; p != nil {
-		return p.refusal(now)
+		return p.refusal(now, allowed)
 	}
 	return Choice{}
 }
 
 // refusal returns the refusal of requests that no target of the pool can take, as
 // PoolRefusal does.
-func (p *pool) refusal(now identifier.Instant) Choice {
+func (p *pool) refusal(now identifier.Instant, allowed permitter.RegionSet) Choice {
 	c := Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
 	earliest, evacuated, kind := identifier.Instant(0), false, TargetsPausing
+	found := false
 	for _, t := range p.targets {
+		if !allowed.Allows(t.Region) {
+			continue
+		}
+		found = true
 		d := t.admissionDecision(now)
 		if d.Open() || d.Reason == permitter.ConnectionsFailed {
 			return c
@@ -97,6 +103,8 @@
 		evacuated = evacuated || d.Reason == permitter.Evacuated
 	}
 	switch {
+	case !found && len(p.targets) > 0:
+		return Choice{Refused: TargetsDisallowed, Wait: noTargetRetryAfter}
 	case earliest == 0 && evacuated:
 		return Choice{Refused: TargetsEvacuated, Wait: noTargetRetryAfter}
 	case earliest == 0:
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -80,9 +80,10 @@
 	p.shortestQueues[i] = t
 }
 
-// eligible reports whether target t accepts work and is not excluded.
-func eligible(now identifier.Instant, t *targetState, exclude []identifier.Target) bool {
-	return t.acceptsWork(now) && !contains(exclude, t.ID)
+// eligible reports whether target t accepts work, is allowed for the request, and is not
+// excluded.
+func eligible(now identifier.Instant, t *targetState, req *Request) bool {
+	return req.AllowedRegions.Allows(t.Region) && t.acceptsWork(now) && !contains(req.Exclude, t.ID)
 }
 
 // healthy reports whether target t is as good as the others. No peer may have reported
@@ -97,10 +98,10 @@
 
 // eligibleTargets returns the eligible targets that are healthy, or all eligible ones if
 // none is healthy.
-func (p *pool) eligibleTargets(now identifier.Instant, exclude []identifier.Target) []*targetState {
+func (p *pool) eligibleTargets(now identifier.Instant, req *Request) []*targetState {
 	var all, healthy []*targetState
 	for _, t := range p.targets {
-		if !eligible(now, t, exclude) {
+		if !eligible(now, t, req) {
 			continue
 		}
 		all = append(all, t)
--- a/admitter/target.go
+++ b/admitter/target.go
@@ -17,6 +17,8 @@
 	Slots int
 	// DataCentre is the data centre in which it runs.
 	DataCentre identifier.DataCentre
+	// Region is the region of that data centre, empty if it is not known.
+	Region identifier.Region
 	// Leaving reports whether it is listed as leaving, that is, takes no new work.
 	Leaving bool
 	// ColdLeft is for how long it was still cold when its entry was written, zero if the
