--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -12,6 +12,7 @@
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
 	"buckthorndrum/isolator"
+	"buckthorndrum/permitter"
 )
 
 // call is the state of one caller's request in flight.
@@ -30,7 +31,9 @@
 	deadline  identifier.Instant
 	route     *Route
 	workspace identifier.Workspace
-	pool      identifier.Pool
+	// allowedRegions are the regions in which the request may be processed.
+	allowedRegions permitter.RegionSet
+	pool           identifier.Pool
 	// mayHaveRun is set when a target may have run the request.
 	mayHaveRun bool
 	// runs counts the targets that may have run the request, attempts all attempts to
@@ -139,6 +142,7 @@
 	c.route = route
 	if route.Public {
 		c.workspace = ""
+		c.allowedRegions = s.AllowedRegions(route, "")
 		return nil
 	}
 	if !f.isFresh(now, confirmedAt) {
@@ -149,6 +153,7 @@
 		return &errorAnswer{status: http.StatusUnauthorized, reason: "The key is not valid."}
 	}
 	c.workspace = w
+	c.allowedRegions = s.AllowedRegions(route, w)
 	return nil
 }
 
@@ -253,7 +258,7 @@
 func (f *Forwarder) targetRequirements(c *call, shareRatio float64) admitter.Request {
 	return admitter.Request{
 		Pool: c.pool, Model: c.info.Model, Segments: c.info.PromptPrefix, PromptTokens: c.info.PromptTokens, MaxOutputTokens: c.info.MaxOutputTokens,
-		TargetMemory: f.state.snapshot.Load().pools[c.pool].MemoryTokens, Exclude: c.tried, LocalDataCentre: f.cfg.DataCentre, Seed: c.seed,
+		TargetMemory: f.state.snapshot.Load().pools[c.pool].MemoryTokens, Exclude: c.tried, LocalDataCentre: f.cfg.DataCentre, Seed: c.seed, AllowedRegions: c.allowedRegions,
 		WithinShare: shareRatio >= 1, MaxWait: latencyLimit(c.route.LatencyObjective, shareRatio),
 	}
 }
@@ -328,6 +333,8 @@
 	switch r {
 	case admitter.TargetsEvacuated:
 		return "The data centres of all targets are evacuated."
+	case admitter.TargetsDisallowed:
+		return "No target is in a region that is allowed for this request."
 	case admitter.TargetsWarmingUp:
 		return "All targets warm up."
 	default:
--- a/forwarder/snapshot.go
+++ b/forwarder/snapshot.go
@@ -16,6 +16,8 @@
 	Limits   Limits
 	pools    map[identifier.Pool]Pool
 	keys     map[string]identifier.Workspace
+	// workspaceRegions holds the restrictions of the workspaces that have one.
+	workspaceRegions map[identifier.Workspace]permitter.RegionSet
 	// coldRates holds what cold targets of the pools that have such stand.
 	coldRates map[identifier.Pool]permitter.ColdRate
 	// routes holds the routes of each host, the longest path prefix first.
@@ -56,6 +58,8 @@
 	GapObjective time.Duration
 	// Urgency orders kinds of requests. Zero is the most urgent.
 	Urgency int
+	// AllowedRegions are the regions in which requests may be processed.
+	AllowedRegions permitter.RegionSet
 	// MaxRuns is the maximum number of targets that may run one request.
 	MaxRuns int
 	// Split lists the pools that serve the route, with their weights.
@@ -83,6 +87,8 @@
 type Workspace struct {
 	ID   identifier.Workspace
 	Keys []string
+	// AllowedRegions are the regions in which its requests may be processed.
+	AllowedRegions permitter.RegionSet
 	// Urgency takes precedence over the urgency of routes. Zero is the most urgent.
 	Urgency int
 }
@@ -103,7 +109,11 @@
 			s.coldRates[p.ID] = p.Cold
 		}
 	}
+	s.workspaceRegions = map[identifier.Workspace]permitter.RegionSet{}
 	for _, w := range workspaces {
+		if w.AllowedRegions != nil {
+			s.workspaceRegions[w.ID] = w.AllowedRegions.Intersect(s.workspaceRegions[w.ID])
+		}
 		for _, k := range w.Keys {
 			s.keys[k] = w.ID
 		}
@@ -144,6 +154,12 @@
 // ColdRate returns what cold targets of a pool stand, zero if its targets are never cold.
 func (s *Snapshot) ColdRate(id identifier.Pool) permitter.ColdRate { return s.coldRates[id] }
 
+// AllowedRegions returns the regions in which a request of a workspace on a route may be
+// processed. w is empty for a public route.
+func (s *Snapshot) AllowedRegions(r *Route, w identifier.Workspace) permitter.RegionSet {
+	return r.AllowedRegions.Intersect(s.workspaceRegions[w])
+}
+
 // WorkspaceOf returns the workspace to which a key belongs, and whether there is one.
 func (s *Snapshot) WorkspaceOf(key string) (identifier.Workspace, bool) {
 	w, ok := s.keys[key]
