--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 )
 
 // Request describes a request for which a target is chosen.
@@ -41,6 +42,8 @@
 	// Crashed are the targets that have crashed under what isolates the request. It goes to
 	// one of them only if there is no other.
 	Crashed []identifier.Target
+	// AllowedRegions are the regions of the targets that may be given the request.
+	AllowedRegions permitter.RegionSet
 	// LocalDataCentre is the data centre of the router.
 	LocalDataCentre identifier.DataCentre
 	// Seed breaks ties between the targets of a plain service. For a prompt without a
@@ -67,6 +70,11 @@
 	// TargetsEvacuated means that no target of the pool accepts work, that at least one is in
 	// an evacuated data centre, and that it is not known when another accepts work again.
 	TargetsEvacuated Refusal = "data centres of all targets are evacuated"
+	// TargetsWarmingUp means that no target of the pool accepts work, and that the first one
+	// to accept work again warms up and has its next permit then.
+	TargetsWarmingUp Refusal = "targets warm up"
+	// TargetsDisallowed means that no target of the pool is in an allowed region.
+	TargetsDisallowed Refusal = "no target is in an allowed region"
 	// ShareExceeded means that the workspace has too much more than others. Choose does
 	// not return it; its caller sets it.
 	ShareExceeded Refusal = "workspace is beyond its share"
@@ -102,6 +110,12 @@
 	departed map[incarnation]identifier.Instant
 	// evacuated holds the evacuated data centres.
 	evacuated map[identifier.DataCentre]bool
+	// coldRates holds what the cold targets of pools stand, and pacing how often this router
+	// may send to them.
+	coldRates map[identifier.Pool]permitter.ColdRate
+	pacing    Pacing
+	// seed makes the phases of permits differ from those of other routers.
+	seed uint64
 	// processes is the number of routers, including this one.
 	processes int
 	// candidates is the buffer for the targets that one choice evaluates.
@@ -115,8 +129,9 @@
 
 // SetTargets replaces the list of targets. It keeps the state of a target whose address
 // and incarnation have not changed. Any other target begins with the mean latency of its
-// pool.
-func (a *Admitter) SetTargets(list []Target) {
+// pool. A cold period that an entry names begins at the instant now if the entry is new or
+// has changed.
+func (a *Admitter) SetTargets(now identifier.Instant, list []Target) {
 	next := make(map[identifier.Target]*targetState, len(list))
 	pools := map[identifier.Pool]*pool{}
 	initialLatency := map[identifier.Pool]latencyEstimate{}
@@ -127,11 +142,13 @@
 			pools[t.Pool] = p
 			initialLatency[t.Pool] = a.pools[t.Pool].meanLatency()
 		}
-		s := a.targets[t.ID]
+		old := a.targets[t.ID]
+		s := old
 		if s == nil || s.incarnation() != t.incarnation() {
 			s = &targetState{prefixes: prefixCache{}, latency: initialLatency[t.Pool]}
 			a.restoreDeparted(t, s)
 		}
+		a.applyEntry(now, old, s, t)
 		s.Target = t
 		s.admission.SetListedLeaving(t.Leaving)
 		s.admission.SetEvacuated(a.evacuated[t.DataCentre])
@@ -181,7 +198,7 @@
 		case c.Refused != "" && limited:
 			return Choice{Refused: TargetsLimited, Wait: max(c.Wait, limitedRetryAfter)}
 		case c.Refused == NoTarget:
-			return p.refusal(now)
+			return p.refusal(now, req.AllowedRegions)
 		case c.Refused != "" || a.underLimit(now, req, c.Target):
 			return c
 		}
@@ -218,10 +235,13 @@
 // chooseLeastLoaded chooses the least loaded target of a service that does not process
 // prompts.
 func (p *pool) chooseLeastLoaded(now identifier.Instant, req Request) Choice {
-	list := p.eligibleTargets(now, req.Exclude)
+	list := p.eligibleTargets(now, &req)
 	if len(list) == 0 {
 		return Choice{Refused: NoTarget}
 	}
+	if cold := warmingUpWithSlot(now, list, req.Seed); cold != nil {
+		return Choice{Target: cold.ID}
+	}
 	best, lowest := list[0], 0.0
 	for i, t := range list {
 		score := float64(t.totalLoad().Running) / float64(max(1, t.Slots))
@@ -249,6 +269,9 @@
 	prefillTokens int
 	startedAt     identifier.Instant
 	answerStarted bool
+	// permitUntil is until when the request may begin at a cold target, zero if the target
+	// was not cold when it was chosen.
+	permitUntil identifier.Instant
 }
 
 // StartAttempt records that a request is sent to target c.Target.
@@ -261,6 +284,7 @@
 	attempt.prefillTokens = t.totalLoad().PrefillTokens + c.PrefillTokens
 	t.ownLoad = t.ownLoad.add(attempt.load)
 	t.limit.RecordSent(now)
+	attempt.permitUntil = t.warmUp.TakePermit(now)
 	t.lastAttempt = now
 	if req.Model != "" {
 		t.prefixes.touch(now, prefixKeys(req.Model, req.Segments))
--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -54,13 +54,17 @@
 // lowest cost, which consists of the queueing delay and the shared prefixes that would
 // have to be recomputed. Other targets than the preferred ones are considered only if
 // none of these has room and the workspace is within its share. A workspace beyond its
-// share has shared prefixes recomputed only while the pool has spare capacity.
+// share has shared prefixes recomputed only while the pool has spare capacity. A candidate
+// that warms up, for which this router has a permit, precedes all others.
 func (a *Admitter) chooseEngine(now identifier.Instant, p *pool, req Request) Choice {
 	keys := prefixKeys(req.Model, req.Segments)
 	candidates := a.ringCandidates(now, p, req, keys)
 	if len(candidates) == 0 {
 		return Choice{Refused: NoTarget}
 	}
+	if cold := firstWarmingUp(now, candidates, req); cold != nil {
+		return Choice{Target: cold.target.ID, Wait: cold.wait, PrefillTokens: cold.prefillTokens}
+	}
 	preferred := min(len(candidates), maxPreferredTargets)
 	spareCapacity := req.WithinShare || p.meanQueueDelay <= spareQueuePercent*req.MaxWait/100
 	best := p.cheapest(candidates[:preferred], req, spareCapacity)
@@ -81,13 +85,13 @@
 	visits := 0
 	p.ring.walk(ringKey(keys, req.Seed), func(t *targetState) bool {
 		visits++
-		if !a.isCandidate(t) && eligible(now, t, req.Exclude) && p.healthy(now, t) {
+		if !a.isCandidate(t) && eligible(now, t, &req) && p.healthy(now, t) {
 			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
 		}
 		return len(a.candidates) < maxRingCandidates && visits < maxRingVisits
 	})
 	if len(a.candidates) == 0 {
-		for _, t := range p.eligibleTargets(now, req.Exclude) {
+		for _, t := range p.eligibleTargets(now, &req) {
 			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
 		}
 	}
@@ -117,7 +121,7 @@
 // candidates, and returns all candidates.
 func (a *Admitter) addShortestQueues(now identifier.Instant, p *pool, req Request, keys []prefixKey) []candidate {
 	for _, t := range p.shortestQueues {
-		if !a.isCandidate(t) && eligible(now, t, req.Exclude) && p.healthy(now, t) {
+		if !a.isCandidate(t) && eligible(now, t, &req) && p.healthy(now, t) {
 			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
 		}
 	}
--- a/admitter/notice.go
+++ b/admitter/notice.go
@@ -42,14 +42,18 @@
 }
 
 // RecheckAdmission decides whether a request may still be sent to the target that was
-// chosen for it. The attempt itself, which already counts as running, is not counted. If
-// the target was not listed the request may be sent.
+// chosen for it. The attempt itself, which already counts as running, is not counted, and the
+// permit that it took counts as its own. If the target was not listed the request may be
+// sent.
 func (a *Admitter) RecheckAdmission(now identifier.Instant, attempt *Attempt) permitter.Decision {
 	t := attempt.target
 	if t == nil {
 		return permitter.Decision{}
 	}
-	return t.admission.Decide(now, t.ownLoad.Running-attempt.load.Running)
+	if d := t.admission.Decide(now, t.ownLoad.Running-attempt.load.Running); !d.Open() {
+		return d
+	}
+	return t.warmUp.Recheck(now, attempt.permitUntil)
 }
 
 // CountUnavailable counts the targets that are given no new work, by reason.
@@ -63,39 +67,50 @@
 	return counts
 }
 
-// PoolRefusal returns the refusal of requests that no target of a pool can take:
-// TargetsPausing if no target accepts work and it is known when the first one will, else
-// TargetsEvacuated if one of them is evacuated, else NoTarget. A target whose connections failed makes it NoTarget. For a pool without
+// PoolRefusal returns the refusal of requests that no target of a pool in an allowed region
+// can take: TargetsDisallowed if there is none,
+// TargetsPausing or TargetsWarmingUp if no target accepts work and it is known when the first
+// one will, else TargetsEvacuated if one of them is evacuated, else NoTarget. A target whose connections failed makes it NoTarget. For a pool without
 // targets it returns the zero Choice.
-func (a *Admitter) PoolRefusal(now identifier.Instant, id identifier.Pool) Choice {
+func (a *Admitter) PoolRefusal(now identifier.Instant, id identifier.Pool, allowed permitter.RegionSet) Choice {
 	if p := a.pools[id]; p != nil {
-		return p.refusal(now)
+		return p.refusal(now, allowed)
 	}
 	return Choice{}
 }
 
 // refusal returns the refusal of requests that no target of the pool can take, as
 // PoolRefusal does.
-func (p *pool) refusal(now identifier.Instant) Choice {
+func (p *pool) refusal(now identifier.Instant, allowed permitter.RegionSet) Choice {
 	c := Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
-	earliest, evacuated := identifier.Instant(0), false
+	earliest, evacuated, kind := identifier.Instant(0), false, TargetsPausing
+	found := false
 	for _, t := range p.targets {
+		if !allowed.Allows(t.Region) {
+			continue
+		}
+		found = true
 		d := t.admissionDecision(now)
 		if d.Open() || d.Reason == permitter.ConnectionsFailed {
 			return c
 		}
 		if d.Until != 0 && (earliest == 0 || d.Until < earliest) {
-			earliest = d.Until
+			earliest, kind = d.Until, TargetsPausing
+			if d.Reason == permitter.WarmingUp {
+				kind = TargetsWarmingUp
+			}
 		}
 		evacuated = evacuated || d.Reason == permitter.Evacuated
 	}
 	switch {
+	case !found && len(p.targets) > 0:
+		return Choice{Refused: TargetsDisallowed, Wait: noTargetRetryAfter}
 	case earliest == 0 && evacuated:
 		return Choice{Refused: TargetsEvacuated, Wait: noTargetRetryAfter}
 	case earliest == 0:
 		return c
 	}
-	return Choice{Refused: TargetsPausing, Wait: earliest.Sub(now)}
+	return Choice{Refused: kind, Wait: earliest.Sub(now)}
 }
 
 // departedTTL is how long an incarnation is remembered that has announced that it leaves
--- a/admitter/pace_test.go
+++ b/admitter/pace_test.go
@@ -33,6 +33,6 @@
 	for _, s := range a.pools["p"].targets {
 		list = append(list, s.Target)
 	}
-	a.SetTargets(list[:2])
+	a.SetTargets(second, list[:2])
 	g.Expect(a.pools["p"].pace.slowest()).To(BeNumerically("==", 2))
 }
--- a/admitter/target.go
+++ b/admitter/target.go
@@ -17,8 +17,13 @@
 	Slots int
 	// DataCentre is the data centre in which it runs.
 	DataCentre identifier.DataCentre
+	// Region is the region of that data centre, empty if it is not known.
+	Region identifier.Region
 	// Leaving reports whether it is listed as leaving, that is, takes no new work.
 	Leaving bool
+	// ColdLeft is for how long it was still cold when its entry was written, zero if the
+	// entry does not say.
+	ColdLeft time.Duration
 	// Incarnation changes when the target restarts with empty caches; a later incarnation
 	// has a higher number. It is zero if it is not known.
 	Incarnation int64
@@ -70,6 +75,10 @@
 	// slowdown is how many times as long as the mean target of its pool the target takes,
 	// as of the last summary of its pool, zero if that is not known.
 	slowdown float64
+	// warmUp paces the requests to it while it is cold.
+	warmUp permitter.WarmUp
+	// reportedCold is set if WarmUpChanges has last reported that it is cold.
+	reportedCold bool
 	// failureRate is the smoothed fraction of answers that are failures.
 	failureRate float64
 	// lastAttempt is when the target was last given a request.
@@ -81,7 +90,10 @@
 
 // admissionDecision returns whether the target may be given work, and the reason if not.
 func (t *targetState) admissionDecision(now identifier.Instant) permitter.Decision {
-	return t.admission.Decide(now, t.ownLoad.Running)
+	if d := t.admission.Decide(now, t.ownLoad.Running); !d.Open() {
+		return d
+	}
+	return t.warmUp.Decide(now)
 }
 
 // acceptsWork reports whether the target may be given work.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -12,6 +12,7 @@
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
 	"buckthorndrum/isolator"
+	"buckthorndrum/permitter"
 )
 
 // call is the state of one caller's request in flight.
@@ -30,7 +31,9 @@
 	deadline  identifier.Instant
 	route     *Route
 	workspace identifier.Workspace
-	pool      identifier.Pool
+	// allowedRegions are the regions in which the request may be processed.
+	allowedRegions permitter.RegionSet
+	pool           identifier.Pool
 	// mayHaveRun is set when a target may have run the request.
 	mayHaveRun bool
 	// runs counts the targets that may have run the request, attempts all attempts to
@@ -139,6 +142,7 @@
 	c.route = route
 	if route.Public {
 		c.workspace = ""
+		c.allowedRegions = s.AllowedRegions(route, "")
 		return nil
 	}
 	if !f.isFresh(now, confirmedAt) {
@@ -149,6 +153,7 @@
 		return &errorAnswer{status: http.StatusUnauthorized, reason: "The key is not valid."}
 	}
 	c.workspace = w
+	c.allowedRegions = s.AllowedRegions(route, w)
 	return nil
 }
 
@@ -257,7 +262,7 @@
 	return admitter.Request{
 		Pool: c.pool, Model: c.info.Model, Segments: c.info.PromptPrefix, PromptTokens: c.info.PromptTokens, MaxOutputTokens: c.info.MaxOutputTokens,
 		TargetMemory: pool.MemoryTokens, Exclude: c.tried, LocalDataCentre: f.cfg.DataCentre, Seed: c.seed,
-		GapObjective: pool.GapObjective, EventTokens: pool.EventTokens,
+		GapObjective: pool.GapObjective, EventTokens: pool.EventTokens, AllowedRegions: c.allowedRegions,
 		WithinShare: shareRatio >= 1, MaxWait: latencyLimit(c.route.LatencyObjective, shareRatio),
 	}
 }
@@ -329,8 +334,14 @@
 
 // refusalText returns the sentence by which a caller is told why its request is refused.
 func refusalText(r admitter.Refusal) string {
-	if r == admitter.TargetsEvacuated {
+	switch r {
+	case admitter.TargetsEvacuated:
 		return "The data centres of all targets are evacuated."
+	case admitter.TargetsDisallowed:
+		return "No target is in a region that is allowed for this request."
+	case admitter.TargetsWarmingUp:
+		return "All targets warm up."
+	default:
+		return "All targets are busy."
 	}
-	return "All targets are busy."
 }
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -69,6 +69,8 @@
 	// Pace is how many times as long as usual work takes at the target now, zero if the
 	// target does not say.
 	Pace float64
+	// Cold is for how long the target says that it is cold.
+	Cold permitter.ColdNotice
 	// Pause is how long the target wants no new requests. It is read from answers that
 	// reject the request.
 	Pause permitter.Pause
--- a/forwarder/snapshot.go
+++ b/forwarder/snapshot.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"buckthorndrum/identifier"
+	"buckthorndrum/permitter"
 )
 
 // Snapshot is one revision of the configuration, indexed for lookups. It is immutable.
@@ -15,6 +16,10 @@
 	Limits   Limits
 	pools    map[identifier.Pool]Pool
 	keys     map[string]identifier.Workspace
+	// workspaceRegions holds the restrictions of the workspaces that have one.
+	workspaceRegions map[identifier.Workspace]permitter.RegionSet
+	// coldRates holds what cold targets of the pools that have such stand.
+	coldRates map[identifier.Pool]permitter.ColdRate
 	// routes holds the routes of each host, the longest path prefix first.
 	routes map[string][]*Route
 }
@@ -53,6 +58,8 @@
 	GapObjective time.Duration
 	// Urgency orders kinds of requests. Zero is the most urgent.
 	Urgency int
+	// AllowedRegions are the regions in which requests may be processed.
+	AllowedRegions permitter.RegionSet
 	// MaxRuns is the maximum number of targets that may run one request.
 	MaxRuns int
 	// Split lists the pools that serve the route, with their weights.
@@ -77,12 +84,16 @@
 	// GapObjective is the shortest gap objective of the routes that the pool serves, zero
 	// if none has one.
 	GapObjective time.Duration
+	// Cold is what the targets stand while they are cold.
+	Cold permitter.ColdRate
 }
 
 // Workspace is a customer with its keys.
 type Workspace struct {
 	ID   identifier.Workspace
 	Keys []string
+	// AllowedRegions are the regions in which its requests may be processed.
+	AllowedRegions permitter.RegionSet
 	// Urgency takes precedence over the urgency of routes. Zero is the most urgent.
 	Urgency int
 }
@@ -90,16 +101,24 @@
 // NewSnapshot returns a snapshot of a configuration. It keeps pointers into routes.
 func NewSnapshot(r identifier.Revision, l Limits, routes []Route, pools []Pool, workspaces []Workspace) *Snapshot {
 	s := &Snapshot{
-		Revision: r,
-		Limits:   l,
-		pools:    map[identifier.Pool]Pool{},
-		keys:     map[string]identifier.Workspace{},
-		routes:   map[string][]*Route{},
+		Revision:  r,
+		Limits:    l,
+		pools:     map[identifier.Pool]Pool{},
+		keys:      map[string]identifier.Workspace{},
+		routes:    map[string][]*Route{},
+		coldRates: map[identifier.Pool]permitter.ColdRate{},
 	}
 	for _, p := range pools {
 		s.pools[p.ID] = p
+		if p.Cold != (permitter.ColdRate{}) {
+			s.coldRates[p.ID] = p.Cold
+		}
 	}
+	s.workspaceRegions = map[identifier.Workspace]permitter.RegionSet{}
 	for _, w := range workspaces {
+		if w.AllowedRegions != nil {
+			s.workspaceRegions[w.ID] = w.AllowedRegions.Intersect(s.workspaceRegions[w.ID])
+		}
 		for _, k := range w.Keys {
 			s.keys[k] = w.ID
 		}
@@ -149,6 +168,15 @@
 	return strings.ToLower(host)
 }
 
+// ColdRate returns what cold targets of a pool stand, zero if its targets are never cold.
+func (s *Snapshot) ColdRate(id identifier.Pool) permitter.ColdRate { return s.coldRates[id] }
+
+// AllowedRegions returns the regions in which a request of a workspace on a route may be
+// processed. w is empty for a public route.
+func (s *Snapshot) AllowedRegions(r *Route, w identifier.Workspace) permitter.RegionSet {
+	return r.AllowedRegions.Intersect(s.workspaceRegions[w])
+}
+
 // WorkspaceOf returns the workspace to which a key belongs, and whether there is one.
 func (s *Snapshot) WorkspaceOf(key string) (identifier.Workspace, bool) {
 	w, ok := s.keys[key]
