admitter: a choice from a large pool without open targets visits a bounded number

Cause: while most targets of a pool warm up or are withheld, a request that met none on the ring visited all targets, twice if it was refused. Change: the summary of a pool of more than 64 targets lists up to 64 that accept work, or will before it is out of date, and the refusal is kept as long as the summary. Requests with a restriction of regions still visit all, as the list need not hold an allowed one.

--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -91,7 +91,7 @@
 		return len(a.candidates) < maxRingCandidates && visits < maxRingVisits
 	})
 	if len(a.candidates) == 0 {
-		for _, t := range p.eligibleTargets(now, &req) {
+		for _, t := range p.eligibleAmong(now, p.scanned(&req), &req) {
 			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
 		}
 	}
--- a/admitter/notice.go
+++ b/admitter/notice.go
@@ -80,8 +80,21 @@
 }
 
 // refusal returns the refusal of requests that no target of the pool can take, as
-// PoolRefusal does.
+// PoolRefusal does. That of a large pool is computed once for each summary.
 func (p *pool) refusal(now identifier.Instant, allowed permitter.RegionSet) Choice {
+	if len(p.targets) <= maxScanned || allowed != nil {
+		return p.currentRefusal(now, allowed)
+	}
+	if p.summarisedAt == 0 || p.refusedAt == 0 || now < p.refusedAt || now.Sub(p.refusedAt) >= summaryTTL {
+		p.refused, p.refusedAt = p.currentRefusal(now, nil), now
+	}
+	c := p.refused
+	c.Wait = max(0, c.Wait-now.Sub(p.refusedAt))
+	return c
+}
+
+// currentRefusal visits all targets to find the refusal.
+func (p *pool) currentRefusal(now identifier.Instant, allowed permitter.RegionSet) Choice {
 	c := Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
 	earliest, evacuated, kind := identifier.Instant(0), false, TargetsPausing
 	found := false
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -32,8 +32,19 @@
 	// shortestQueues holds the targets with a free slot and the shortest queueing delay,
 	// in ascending order, at most maxShortestQueues.
 	shortestQueues []*targetState
+	// open holds targets of a pool of more than maxScanned that accept work, or will before
+	// the summary is out of date, at most maxScanned.
+	open []*targetState
+	// refused is the refusal of unrestricted requests as of refusedAt, in a pool of more than
+	// maxScanned targets. refusedAt is zero if it is not known.
+	refused   Choice
+	refusedAt identifier.Instant
 }
 
+// maxScanned is the most targets that a choice visits one by one. In a larger pool it relies
+// on the summary.
+const maxScanned = 64
+
 // maxShortestQueues is the most targets that a summary lists in shortestQueues.
 const maxShortestQueues = 8
 
@@ -43,16 +54,20 @@
 	if p.summarisedAt != 0 && now >= p.summarisedAt && now.Sub(p.summarisedAt) < summaryTTL {
 		return
 	}
-	p.summarisedAt = now
+	p.summarisedAt, p.refusedAt = now, 0
 	p.pace.advance(now)
 	p.compareSpeeds()
-	p.fastest = nil
+	p.fastest, p.open = nil, p.open[:0]
 	p.minFailureRate, p.minWait = 1, -1
 	p.shortestQueues = p.shortestQueues[:0]
 	var sum time.Duration
 	n := 0
 	for _, t := range p.targets {
-		if !t.acceptsWork(now) {
+		d := t.admissionDecision(now)
+		if len(p.targets) > maxScanned && len(p.open) < maxScanned && (d.Open() || d.Until != 0 && d.Until.Sub(now) < summaryTTL) {
+			p.open = append(p.open, t)
+		}
+		if !d.Open() {
 			continue
 		}
 		n++
@@ -109,8 +124,23 @@
 // eligibleTargets returns the eligible targets that are healthy, or all eligible ones if
 // none is healthy.
 func (p *pool) eligibleTargets(now identifier.Instant, req *Request) []*targetState {
+	return p.eligibleAmong(now, p.targets, req)
+}
+
+// scanned returns the targets among which a request looks for one if none of those that it
+// prefers is eligible: all of a small pool, and those of the summary of a large one. A
+// request with a restriction needs all, as the summary need not hold one that is allowed.
+func (p *pool) scanned(req *Request) []*targetState {
+	if len(p.targets) <= maxScanned || req.AllowedRegions != nil {
+		return p.targets
+	}
+	return p.open
+}
+
+// eligibleAmong returns what eligibleTargets does of a list of targets of the pool.
+func (p *pool) eligibleAmong(now identifier.Instant, list []*targetState, req *Request) []*targetState {
 	var all, healthy []*targetState
-	for _, t := range p.targets {
+	for _, t := range list {
 		if !eligible(now, t, req) {
 			continue
 		}
