admitter, forwarder: tests catch an evacuation that a new incarnation or a late check misses

Change: tests for the evacuation of a new incarnation and for the restriction of regions before the first byte.

--- a/admitter/evacuate_test.go
+++ b/admitter/evacuate_test.go
@@ -53,6 +53,9 @@
 			a.SetEvacuated(second, zones("a"))
 			for seed := range uint64(200) {
 				if seed == 100 {
+					for i := range targets {
+						targets[i].Incarnation++ // A target that starts anew has another state.
+					}
 					a.SetTargets(second, targets)
 				}
 				r := req
--- a/forwarder/regions_test.go
+++ b/forwarder/regions_test.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -120,3 +121,31 @@
 	g.Expect(f.requestsAt("t2")).To(Equal(before))
 	g.Expect(f.requestsAt("t1")).To(BeZero())
 }
+
+// Guards against a request that is written to a target which stopped being allowed after it
+// had been selected: by another configuration, an evacuation or a cold period.
+func TestChangeBeforeWriteKeepsRequestBack(t *testing.T) {
+	for name, change := range map[string]func(*fleet){
+		"restricted": func(f *fleet) { f.restrict(9, permitter.RegionSet{"west": true}, nil) },
+		"evacuated":  func(f *fleet) { f.SetEvacuated(map[identifier.DataCentre]bool{"a": true}) },
+		"cold": func(f *fleet) {
+			f.targets[0].ColdLeft = time.Minute
+			f.SetTargets(f.targets)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f, _ := newColdFleet(t, completeAnswer)
+			f.setZones("a")
+			f.setRegions("east")
+			ctx, c := f.prepareCall(t)
+			selected, e := f.selectTarget(c)
+			g.Expect(e).To(BeNil())
+			change(f)
+			done, _ := f.attempt(ctx, c, selected)
+			g.Expect(done).To(BeFalse())
+			g.Expect(f.requestsSeen()).To(BeEmpty())
+			g.Expect(c.mayHaveRun).To(BeFalse())
+		})
+	}
+}
