acceptor: request heads are read within limits and a shared budget

Cause: net/http buffers and parses heads of any number of lines on all connections at once, so that 300 connections took up 100 to 310 MB. Change: a listener's connections return a head only once it is complete, within the size and time limits of the configuration, and its cost (bytes, lines, their parsed form and copy) is reserved. Incomplete heads count in the same budget; beyond it the connection whose head began first is closed. Connections are bounded; beyond the bound the one that has waited longest for its first head is closed. A head that arrives at once is read into the buffer of net/http without a copy.

--- a/acceptor/backlog_test.go
+++ b/acceptor/backlog_test.go
@@ -34,7 +34,7 @@
 // the last one accepted.
 func TestListenerEarliestArrival(t *testing.T) {
 	g := NewWithT(t)
-	p, err := Listen(net.ListenConfig{}, "tcp4", "127.0.0.1:0")
+	p, err := Listen(Config{Network: "tcp4", Address: "127.0.0.1:0"})
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = p.Close() }()
 	const callers = 3
--- a/acceptor/connection.go
+++ b/acceptor/connection.go
@@ -81,9 +81,12 @@
 	closedInput
 )
 
-// peekInput returns the unread input of a connection without reading it. For a
-// connection without a socket it returns noInput.
+// peekInput returns the unread input of a connection without reading it. What a Conn has
+// buffered is unread too. For a connection without a socket it returns noInput.
 func peekInput(c net.Conn) unreadInput {
+	if c, ok := c.(*Conn); ok && c.unread.Load() > 0 {
+		return dataInput
+	}
 	sc, ok := c.(syscall.Conn)
 	if !ok {
 		return noInput
@@ -109,20 +112,9 @@
 	return found
 }
 
-// acceptedConn is a connection of a Listener. Its Close discards what has been received and
-// not read: closing a socket with unread input resets its connection, which drops what its
-// peer has not received yet, such as the end of an answer.
-type acceptedConn struct{ *net.TCPConn }
-
 // maxDiscarded is how much unread input is discarded at most, in bytes.
 const maxDiscarded = 1 << 20
 
-// Close implements net.Conn.
-func (c *acceptedConn) Close() error {
-	discardInput(c.TCPConn)
-	return c.TCPConn.Close()
-}
-
 // discardInput reads what a connection has received, without waiting for more.
 func discardInput(c syscall.Conn) {
 	raw, err := c.SyscallConn()
--- a/acceptor/conntracker.go
+++ b/acceptor/conntracker.go
@@ -46,6 +46,7 @@
 // http.Server. A connection on which a request was read is read again until the request has
 // its answer, even if CloseIdle has begun to close it.
 func (s *ConnTracker) SetState(c net.Conn, state http.ConnState) {
+	SetState(c, state)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if state == http.StateNew {
--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -1,8 +1,10 @@
 package acceptor
 
 import (
+	"container/list"
 	"context"
 	"net"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -13,14 +15,86 @@
 	"buckthorndrum/identifier"
 )
 
-// Listener accepts the connections of callers. When it closes, it first accepts the
-// connections in the accept queue of the kernel, which would be reset otherwise.
+// Listener accepts the connections of callers, of type *Conn. When it closes, it first
+// accepts the connections in the accept queue of the kernel, which would be reset otherwise.
 type Listener struct {
 	*net.TCPListener
 	closing atomic.Bool
 	backlog backlog
+	limits  atomic.Pointer[HeadLimits]
+	budget  *HeadBudget
+	// maxConns bounds the open connections, zero for no bound.
+	maxConns int
+	http2    bool
+	// initialPhase is what new connections read first.
+	initialPhase connPhase
+
+	// mu guards the fields below and the listener's fields of connections.
+	mu sync.Mutex
+	// open counts the open connections.
+	open int
+	// waiting holds the connections without a complete head so far, of type *Conn, in the
+	// order in which they were accepted.
+	waiting list.List
+}
+
+// Config configures a Listener. All fields but Network and Address may be zero.
+type Config struct {
+	Network string
+	Address string
+	// Options are those of the socket.
+	Options net.ListenConfig
+	// Heads bounds the request heads until SetHeadLimits replaces it.
+	Heads HeadLimits
+	// Budget is shared by the listeners of a process. Nil is a budget without a bound.
+	Budget *HeadBudget
+	// MaxConns bounds the open connections, zero for no bound. Beyond it, the connection
+	// that has waited longest for its first complete head is closed, or else the new one.
+	MaxConns int
+	// HTTP2 is set if the server accepts HTTP/2 without TLS. Such a connection is passed
+	// through after its preface.
+	HTTP2 bool
+	// TLS is set if the server reads TLS, whose connections are passed through.
+	TLS bool
+}
+
+// HeadLimits bounds the head of a request. A field that is zero or less has the default.
+type HeadLimits struct {
+	// MaxBytes is the largest size of a head, in bytes.
+	MaxBytes int
+	// Timeout is the longest time in which a head must be complete: from the opening of
+	// the connection for its first one, and from its first byte for others.
+	Timeout time.Duration
+}
+
+// MaxHeadBytes is the largest size of a head that limits may allow, in bytes. It is the
+// MaxHeaderBytes of servers, which is a second bound on what they read.
+const MaxHeadBytes = 1 << 20
+
+// The limits of heads where none are set.
+const (
+	DefaultMaxHeadBytes = 64 << 10
+	DefaultHeadTimeout  = 10 * time.Second
+)
+
+// withDefaults returns the limits with the defaults of fields that are not set.
+func (l HeadLimits) withDefaults() *HeadLimits {
+	if l.MaxBytes <= 0 {
+		l.MaxBytes = DefaultMaxHeadBytes
+	}
+	l.MaxBytes = min(l.MaxBytes, MaxHeadBytes)
+	if l.Timeout <= 0 {
+		l.Timeout = DefaultHeadTimeout
+	}
+	return &l
 }
 
+// SetHeadLimits replaces the limits of heads. They apply to heads that begin later.
+func (p *Listener) SetHeadLimits(l HeadLimits) { p.limits.Store(l.withDefaults()) }
+
+// headLimits returns the limits of heads in force.
+func (p *Listener) headLimits() HeadLimits { return *p.limits.Load() }
+
 const (
 	// queueEmptyAfter is how long no connection must arrive for the accept queue to
 	// count as empty, and maxQueueDrain how long it is drained at most.
@@ -28,38 +102,101 @@
 	maxQueueDrain   = 500 * time.Millisecond
 )
 
-// Listen opens a listener with the options of cfg. It fails if network is not a TCP
-// network. It disables Multipath TCP, because only plain TCP sockets accept the socket
-// filter of DrainAndClose.
-func Listen(cfg net.ListenConfig, network, address string) (*Listener, error) {
-	cfg.SetMultipathTCP(false)
-	l, err := cfg.Listen(context.Background(), network, address)
+// Listen opens a listener. It fails if the network is not a TCP network. It disables
+// Multipath TCP, because only plain TCP sockets accept the socket filter of DrainAndClose.
+func Listen(cfg Config) (*Listener, error) {
+	cfg.Options.SetMultipathTCP(false)
+	l, err := cfg.Options.Listen(context.Background(), cfg.Network, cfg.Address)
 	if err != nil {
-		return nil, errors.Wrapf(err, "listen for callers on %s", address)
+		return nil, errors.Wrapf(err, "listen for callers on %s", cfg.Address)
 	}
 	t, ok := l.(*net.TCPListener)
 	if !ok {
 		_ = l.Close()
-		return nil, errors.Errorf("listen for callers on %s: network %q is not TCP", address, network)
+		return nil, errors.Errorf("listen for callers on %s: network %q is not TCP", cfg.Address, cfg.Network)
+	}
+	p := &Listener{TCPListener: t, budget: cfg.Budget, maxConns: cfg.MaxConns, http2: cfg.HTTP2}
+	if p.budget == nil {
+		p.budget = NewHeadBudget(0)
 	}
-	return &Listener{TCPListener: t}, nil
+	if cfg.TLS {
+		p.initialPhase = unframed
+	}
+	p.SetHeadLimits(cfg.Heads)
+	return p, nil
 }
 
 // Accept implements net.Listener. While the listener is closing, it returns the pending
 // connections, and then net.ErrClosed.
 func (p *Listener) Accept() (net.Conn, error) {
-	if p.closing.Load() {
-		_ = p.SetDeadline(time.Now().Add(queueEmptyAfter))
+	for {
+		if p.closing.Load() {
+			_ = p.SetDeadline(time.Now().Add(queueEmptyAfter))
+		}
+		t, err := p.AcceptTCP()
+		if err != nil && p.closing.Load() {
+			return nil, net.ErrClosed
+		}
+		if err != nil {
+			return nil, err
+		}
+		p.backlog.accepted(clocker.Coarse(), p.hasPending)
+		if c := (&Conn{TCPConn: t, listener: p, phase: p.initialPhase}); p.add(c) {
+			return c, nil
+		}
+		_ = t.Close()
 	}
-	c, err := p.AcceptTCP()
-	if err != nil && p.closing.Load() {
-		return nil, net.ErrClosed
+}
+
+// add counts a new connection. Beyond the bound it closes the one that has waited longest
+// for its first complete head, or reports false if there is none.
+func (p *Listener) add(c *Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.maxConns > 0 && p.open >= p.maxConns {
+		p.budget.count(TooManyConnections)
+		oldest := p.waiting.Front()
+		if oldest == nil {
+			return false
+		}
+		victim := oldest.Value.(*Conn)
+		p.forget(victim)
+		victim.closeNow()
 	}
-	if err != nil {
-		return nil, err
+	p.open++
+	c.counted, c.waitingEntry = true, p.waiting.PushBack(c)
+	return true
+}
+
+// endWaiting records that a connection has a complete head. It reports false if the
+// connection was closed before that.
+func (p *Listener) endWaiting(c *Conn) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if c.waitingEntry != nil {
+		p.waiting.Remove(c.waitingEntry)
+		c.waitingEntry = nil
+	}
+	return c.counted
+}
+
+// remove records that a connection is closed.
+func (p *Listener) remove(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(c)
+}
+
+// forget stops counting a connection. The caller must hold mu.
+func (p *Listener) forget(c *Conn) {
+	if c.waitingEntry != nil {
+		p.waiting.Remove(c.waitingEntry)
+		c.waitingEntry = nil
+	}
+	if c.counted {
+		c.counted = false
+		p.open--
 	}
-	p.backlog.accepted(clocker.Coarse(), p.hasPending)
-	return &acceptedConn{c}, nil
 }
 
 // EarliestArrival returns since when the accept queue has been continuously non-empty,
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,9 @@
 	Identify func(http.Header) string
 	// MaxCallers bounds the number of connections from callers, zero for no bound.
 	MaxCallers int
+	// Heads bounds the memory of request heads, and is shared with the process's other
+	// ports. Nil is no bound.
+	Heads *acceptor.HeadBudget
 	// MaxBufferedBytes bounds the total size of the request bodies and answers in
 	// memory, in bytes, zero for no bound.
 	MaxBufferedBytes int64
@@ -71,10 +74,7 @@
 	ackTimeout = 1500 * time.Millisecond
 	// maxIdlePerTarget bounds the idle connections to one target.
 	maxIdlePerTarget = 64
-	// maxHeaderBytes bounds the request line and header of a caller's request, in
-	// bytes.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds the time to read a caller's header.
+	// headerTimeout is how long a new connection may send nothing.
 	headerTimeout = 10 * time.Second
 	// defaultIdleTimeout is how long a caller's connection may be idle if the
 	// configuration does not say.
@@ -118,9 +118,15 @@
 	if err := cfg.Check(); err != nil {
 		return nil, errors.Wrap(err, "check forwarder settings")
 	}
+	if cfg.Heads == nil {
+		cfg.Heads = acceptor.NewHeadBudget(0)
+	}
 	// Keep-alive probes on callers' connections would cost four system calls each. They
 	// are not needed: idle connections are closed, and others have a time limit.
-	l, err := acceptor.Listen(net.ListenConfig{KeepAlive: -1}, "tcp4", cfg.Listen)
+	l, err := acceptor.Listen(acceptor.Config{
+		Network: "tcp4", Address: cfg.Listen, Options: net.ListenConfig{KeepAlive: -1},
+		Budget: cfg.Heads, MaxConns: cfg.MaxCallers,
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "open the callers' port")
 	}
@@ -142,7 +148,7 @@
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    acceptor.MaxHeadBytes,
 		ConnState:         f.callers.SetState,
 		BaseContext:       func(net.Listener) context.Context { return f.requestCtx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
--- a/forwarder/snapshot.go
+++ b/forwarder/snapshot.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"buckthorndrum/acceptor"
 	"buckthorndrum/identifier"
 )
 
@@ -23,13 +24,32 @@
 type Limits struct {
 	// MaxBodyBytes is the maximum size of a request body, zero for the default.
 	MaxBodyBytes int64
+	// MaxHeadBytes is the maximum size of a request head in bytes, and HeadTimeout the time
+	// in which one must be complete, zero for the defaults.
+	MaxHeadBytes int
+	HeadTimeout  time.Duration
 	// IdleTimeout is how long a caller's connection may be idle, zero for the default.
 	IdleTimeout time.Duration
+	// Ignored names the fields whose values are not valid, so that the defaults apply.
+	Ignored []string
 	// TokensPerSecond is the rate that all engines together process, zero if it is not
 	// known.
 	TokensPerSecond float64
 }
 
+// headMargin is added to the maximum size of a head, in bytes, so that no legal head is
+// rejected. It is the margin that net/http adds.
+const headMargin = 4 << 10
+
+// heads returns the limits of request heads.
+func (l Limits) heads() acceptor.HeadLimits {
+	heads := acceptor.HeadLimits{Timeout: l.HeadTimeout}
+	if l.MaxHeadBytes > 0 {
+		heads.MaxBytes = l.MaxHeadBytes + headMargin
+	}
+	return heads
+}
+
 // Route describes how requests for a host and path prefix are served.
 type Route struct {
 	Kind   identifier.Kind
--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -77,6 +77,7 @@
 	}
 	f.state.snapshot.Store(s)
 	f.state.sharer.SetCapacity(s.Limits.TokensPerSecond)
+	f.listener.SetHeadLimits(s.Limits.heads())
 	return true
 }
 
--- a/router/router.go
+++ b/router/router.go
@@ -78,7 +78,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set up router security")
 	}
-	port, err := acceptor.Listen(net.ListenConfig{}, "tcp", cfg.Listen)
+	port, err := acceptor.Listen(acceptor.Config{Network: "tcp", Address: cfg.Listen})
 	if err != nil {
 		return nil, errors.Wrapf(err, "start router %q", cfg.Name)
 	}
