router, agent: request heads are read within limits and a budget

Cause: the product's own router and its agent accepted heads of 1 MB on any number of connections: 300 connections took up 180 to 880 MB. Change: both ports read heads as the platform's do, with a budget of 16 MB, at most 4,096 connections and half of the descriptors. Agents accept HTTP/2 too; its header blocks are bounded at 16 KB, of which a connection holds one at a time.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -335,12 +335,11 @@
 func (c *Conn) readAhead(p []byte) (int, error) {
 	for c.returned == 0 {
 		if len(c.buf) == 0 {
-			var next [1]byte
-			n, err := c.TCPConn.Read(next[:])
+			n, err := c.TCPConn.Read(p[:1])
 			if n == 0 {
 				return 0, err
 			}
-			c.setBuffer(append(c.buf, next[0]))
+			c.setBuffer(append(c.buf, p[0]))
 		}
 		rest, ok := c.skipEmptyLines(c.buf)
 		if !ok {
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -12,6 +12,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/zap"
 
+	"buckthorndrum/acceptor"
 	"buckthorndrum/configurator"
 	"buckthorndrum/counter"
 	"buckthorndrum/identifier"
@@ -73,11 +74,14 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set up agent security")
 	}
-	l, err := net.Listen("tcp", cfg.Listen)
+	bounds := acceptor.ProcessConfig(cfg.Listen)
+	bounds.HTTP2, bounds.TLS = true, sec.TLS() != nil
+	l, err := acceptor.Listen(bounds)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for agent of target %q on %s", cfg.Target, cfg.Listen)
 	}
 	a := newAgent(cfg, sec, l.Addr().String())
+	a.metrics.registry.MustRegister(bounds.Budget.Collectors()...)
 	a.serve(l)
 	go a.loop()
 	go a.pollEngine()
@@ -118,6 +122,7 @@
 // serve answers HTTP requests on l in the background.
 func (a *Agent) serve(l net.Listener) {
 	a.server = a.sec.Server(a.handler())
+	a.server.ConnState = acceptor.SetState
 	go func() {
 		if a.sec.TLS() != nil {
 			_ = a.server.ServeTLS(l, "", "")
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -6,7 +6,6 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
-	"buckthorndrum/acceptor"
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
 	"buckthorndrum/permitter"
@@ -70,13 +69,7 @@
 		defer f.state.mu.Unlock()
 		return float64(len(f.state.isolator.Blocks()))
 	})
-	for _, r := range acceptor.Rejections() {
-		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
-			Name: "buckthorndrum_acceptor_rejected_total", Help: "Requests that were rejected, and connections that were closed, before a request was accepted.", ConstLabels: prometheus.Labels{"reason": r.String()},
-		}, func() float64 { return float64(f.cfg.Heads.Rejected(r)) }))
-	}
-	m.gauge("buckthorndrum_acceptor_incomplete_head_bytes", "Buffers of request heads that are not complete, in bytes.", func() float64 { return float64(f.cfg.Heads.PartialBytes()) })
-	m.gauge("buckthorndrum_acceptor_accepted_head_bytes", "Reserved for the heads of requests in flight, in bytes.", func() float64 { return float64(f.cfg.Heads.AcceptedBytes()) })
+	m.registry.MustRegister(f.cfg.Heads.Collectors()...)
 	m.gauge("buckthorndrum_forwarder_caller_connections", "Callers' connections.", func() float64 { return float64(f.callers.Count()) })
 	m.gauge("buckthorndrum_forwarder_target_connections_opened", "Connections to targets opened since the start.", func() float64 { return float64(f.conns.Opened()) })
 	return m
--- a/router/router.go
+++ b/router/router.go
@@ -78,18 +78,24 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "set up router security")
 	}
-	port, err := acceptor.Listen(acceptor.Config{Network: "tcp", Address: cfg.Listen})
+	bounds := acceptor.ProcessConfig(cfg.Listen)
+	bounds.Heads.Timeout = readHeaderTimeout
+	port, err := acceptor.Listen(bounds)
 	if err != nil {
 		return nil, errors.Wrapf(err, "start router %q", cfg.Name)
 	}
 	r := assemble(cfg, security, port.Addr().String())
+	r.metrics.registry.MustRegister(bounds.Budget.Collectors()...)
 	h, err := r.handler()
 	if err != nil {
 		_ = port.Close()
 		return nil, errors.Wrap(err, "build router handler")
 	}
 	r.listener = port
-	r.server = &http.Server{Handler: r.closeWhenDraining(h), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, ConnState: r.connections.SetState, BaseContext: func(net.Listener) context.Context { return r.requestCtx }}
+	r.server = &http.Server{
+		Handler: r.closeWhenDraining(h), ReadHeaderTimeout: readHeaderTimeout, ReadTimeout: readTimeout, MaxHeaderBytes: acceptor.DefaultMaxHeadBytes,
+		ConnState: r.connections.SetState, BaseContext: func(net.Listener) context.Context { return r.requestCtx },
+	}
 	go r.serve()
 	go r.loop()
 	go r.watchConfig()
--- a/securer/securer.go
+++ b/securer/securer.go
@@ -161,6 +161,9 @@
 	pingTimeout = 3 * time.Second
 	// readHeaderTimeout bounds the reading of a request's header.
 	readHeaderTimeout = 5 * time.Second
+	// maxHeaderBytes bounds the header of a request, in bytes. A connection of HTTP/2 holds
+	// one incomplete header at a time.
+	maxHeaderBytes = 16 << 10
 )
 
 // Server returns an HTTP server for calls from other processes. It has a TLS
@@ -170,5 +173,5 @@
 	p.SetHTTP1(true)
 	p.SetHTTP2(true)
 	p.SetUnencryptedHTTP2(s.tls == nil)
-	return &http.Server{Handler: h, Protocols: &p, TLSConfig: s.tls.Clone(), ReadHeaderTimeout: readHeaderTimeout}
+	return &http.Server{Handler: h, Protocols: &p, TLSConfig: s.tls.Clone(), ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes}
 }
