--- a/acceptor/headbudget.go
+++ b/acceptor/headbudget.go
@@ -64,7 +64,7 @@
 
 // setPartial records the size of the buffer of a connection's incomplete head, in bytes.
 // Beyond the bound it closes the connections whose incomplete heads began first, which may
-// be c.
+// be c, but not the only one.
 func (b *HeadBudget) setPartial(c *Conn, size int64) {
 	var closing []*Conn
 	b.mu.Lock()
@@ -75,7 +75,7 @@
 		b.partial += size - c.partialBytes
 		c.partialBytes = size
 	}
-	for b.partialLimit > 0 && b.partial > b.partialLimit && b.heads.Len() > 0 {
+	for b.partialLimit > 0 && b.partial > b.partialLimit && b.heads.Len() > 1 {
 		oldest := b.heads.Front().Value.(*Conn)
 		b.remove(oldest)
 		oldest.partialEvicted = true
