acceptor: the kernel's buffers of a connection are bounded

Cause: input that arrives while a request is served stays in the kernel, whose buffers grow to 32 MB for one connection here, and counts toward the process's memory. Change: 32 KB for input and 64 KB for output, which the kernel doubles.

--- a/acceptor/fuzz_test.go
+++ b/acceptor/fuzz_test.go
@@ -31,7 +31,7 @@
 		}
 		rest := bufio.NewReaderSize(bytes.NewReader(raw), max(len(raw), 8<<10))
 		req, err := http.ReadRequest(rest)
-		if err != nil {
+		if err != nil || req.ProtoMajor != 1 {
 			return
 		}
 		if end == 0 {
--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -42,7 +43,7 @@
 type Config struct {
 	Network string
 	Address string
-	// Options are those of the socket.
+	// Options are those of the socket. Its Control is replaced.
 	Options net.ListenConfig
 	// Heads bounds the request heads until SetHeadLimits replaces it.
 	Heads HeadLimits
@@ -106,6 +107,7 @@
 // Multipath TCP, because only plain TCP sockets accept the socket filter of DrainAndClose.
 func Listen(cfg Config) (*Listener, error) {
 	cfg.Options.SetMultipathTCP(false)
+	cfg.Options.Control = setBuffers
 	l, err := cfg.Options.Listen(context.Background(), cfg.Network, cfg.Address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for callers on %s", cfg.Address)
@@ -126,6 +128,30 @@
 	return p, nil
 }
 
+// The kernel's buffers of a connection, in bytes, which it doubles for its own structures.
+// Without these values they grow to several MB each for a caller that sends while its request
+// is served, or does not read its answer.
+const (
+	receiveBuffer = 32 << 10
+	sendBuffer    = 64 << 10
+)
+
+// setBuffers sets the sizes of the kernel's buffers of a socket and of the connections that
+// it accepts.
+func setBuffers(_, _ string, raw syscall.RawConn) error {
+	var sockErr error
+	err := raw.Control(func(fd uintptr) {
+		sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
+		if sockErr == nil {
+			sockErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
+		}
+	})
+	if err != nil {
+		return err
+	}
+	return sockErr
+}
+
 // Accept implements net.Listener. While the listener is closing, it returns the pending
 // connections, and then net.ErrClosed.
 func (p *Listener) Accept() (net.Conn, error) {
