forwarder: callers that do not read, and text in log lines, are bounded

Cause: a write to a caller that does not read waits without limit, and keeps the memory of its answer reserved and its descriptor. The ID of a request and errors that quote a target's bytes were logged at any length. Change: writes fail 3 s after the deadline of the request; logged text is cut off at 256 bytes. Result: TestAnswerToCallerThatDoesNotReadIsGivenUp and TestLoggedTextIsBounded pass.

--- a/forwarder/accesslog.go
+++ b/forwarder/accesslog.go
@@ -63,7 +63,7 @@
 		return
 	}
 	fields := []zap.Field{
-		zap.String("request", string(c.info.ID)), zap.String("ending", outcome), zap.Int("status", c.status),
+		zap.String("request", c.loggedID()), zap.String("ending", outcome), zap.Int("status", c.status),
 	}
 	if f.state.stopping.Load() {
 		fields = append(fields, zap.Duration("read_since_stop", f.sinceStop(c.arrived)))
@@ -88,6 +88,15 @@
 	entry.Write(fields...)
 }
 
+// maxLoggedText bounds text of callers and targets in a log line, in bytes.
+const maxLoggedText = 256
+
+// boundText returns text cut off at maxLoggedText.
+func boundText(text string) string { return text[:min(len(text), maxLoggedText)] }
+
+// loggedID returns the ID of the request for a log line. It is chosen by the caller.
+func (c *call) loggedID() string { return boundText(string(c.info.ID)) }
+
 // targetList is a list of targets that zap logs as an array of strings.
 type targetList []identifier.Target
 
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -156,7 +156,7 @@
 		return f.correctStatus(c, &errorAnswer{status: http.StatusServiceUnavailable, reason: "All targets are busy.", retryAfter: time.Second})
 	}
 	c.retryGranted = false
-	f.log.Info("sending again", zap.String("request", string(c.info.ID)), zap.String("target", string(t.choice.Target)), zap.String("reason", reason),
+	f.log.Info("sending again", zap.String("request", c.loggedID()), zap.String("target", string(t.choice.Target)), zap.String("reason", reason),
 		zap.Int("sends", c.attempts), zap.Int("runs", c.runs), zap.String("fault", c.connError))
 	return nil
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -107,6 +107,7 @@
 		timeout = defaultTimeout
 	}
 	c.deadline = c.arrived.Add(timeout)
+	c.boundWrites()
 	if e := f.readBody(c); e != nil {
 		return nil, nil, e
 	}
@@ -114,6 +115,13 @@
 	return ctx, cancel, nil
 }
 
+// boundWrites makes writes to the caller fail some time after its deadline. A caller that
+// does not read would keep the memory of its answer reserved otherwise.
+func (c *call) boundWrites() {
+	left := c.deadline.Sub(clocker.Coarse()) + slowReaderMargin
+	_ = http.NewResponseController(c.w).SetWriteDeadline(time.Now().Add(left))
+}
+
 // defaultTimeout is the time limit of a request if neither the caller nor the route
 // sets one.
 const defaultTimeout = time.Minute
--- a/forwarder/callers_test.go
+++ b/forwarder/callers_test.go
@@ -6,13 +6,16 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 
 	"buckthorndrum/acceptor"
 	"buckthorndrum/clocker"
+	"buckthorndrum/identifier"
 )
 
 // connPair returns the two ends of a connection.
@@ -112,3 +115,29 @@
 	_, err = caller.Read(make([]byte, 1))
 	g.Expect(err).To(MatchError(io.EOF))
 }
+
+// A caller that does not read its answer gives back the memory of the answer some time
+// after its deadline. It kept it for as long as its connection was open before.
+func TestAnswerToCallerThatDoesNotReadIsGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, fixedAnswer(http.StatusOK, "Seal: s\r\n", strings.Repeat("x", maxBufferedAnswer-1)))
+	c, err := net.Dial("tcp4", f.address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	g.Expect(c.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+	_, err = io.WriteString(c, "GET /lookup/1 HTTP/1.1\r\nHost: desk\r\nId: id1\r\nKey: k\r\nPatience: 2000\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(f.memory.used.Load, "4s").Should(BeNumerically(">=", maxBufferedAnswer))
+	g.Eventually(f.memory.used.Load, slowReaderMargin+4*time.Second).Should(BeZero())
+	g.Eventually(f.callers.Count, "2s").Should(BeZero())
+}
+
+// Text that callers and targets choose is cut off in log lines.
+func TestLoggedTextIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	c := &call{}
+	c.info.ID = identifier.Request(strings.Repeat("i", 10*maxLoggedText))
+	c.recordConnError(errors.New(strings.Repeat("e", 10*maxLoggedText)))
+	g.Expect(c.loggedID()).To(HaveLen(maxLoggedText))
+	g.Expect(c.connError).To(HaveLen(maxLoggedText))
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -76,6 +76,10 @@
 	maxIdlePerTarget = 64
 	// headerTimeout is how long a new connection may send nothing.
 	headerTimeout = 10 * time.Second
+	// slowReaderMargin is how long after the deadline of a request its caller may still
+	// take to read the answer, and how long it may take to read one that is given before
+	// the deadline is known.
+	slowReaderMargin = 3 * time.Second
 	// defaultIdleTimeout is how long a caller's connection may be idle if the
 	// configuration does not say.
 	defaultIdleTimeout = time.Minute
@@ -148,6 +152,7 @@
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headerTimeout,
+		WriteTimeout:      slowReaderMargin,
 		MaxHeaderBytes:    acceptor.MaxHeadBytes,
 		ConnState:         f.callers.SetState,
 		BaseContext:       func(net.Listener) context.Context { return f.requestCtx },
--- a/forwarder/stop.go
+++ b/forwarder/stop.go
@@ -135,7 +135,7 @@
 	if entry == nil {
 		return
 	}
-	entry.Write(c.fit.appendTo([]zap.Field{zap.String("request", string(c.info.ID)), zap.Duration("since_stop", f.sinceStop(clocker.Coarse()))})...)
+	entry.Write(c.fit.appendTo([]zap.Field{zap.String("request", c.loggedID()), zap.Duration("since_stop", f.sinceStop(clocker.Coarse()))})...)
 }
 
 // closeIfStopping adds to the header of an answer that its connection is closed, if the
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -160,11 +160,11 @@
 	f.state.admitter.RecordAnswerStart(now, t.sent)
 }
 
-// recordConnError keeps an error of a connection for the request's log entry. A nil
-// error is ignored.
+// recordConnError keeps an error of a connection for the request's log entry, cut off at
+// maxLoggedText, as errors may quote what a target sent. A nil error is ignored.
 func (c *call) recordConnError(err error) {
 	if err != nil {
-		c.connError = err.Error()
+		c.connError = boundText(err.Error())
 	}
 }
 
