exchanger: the lines of an answer's head are bounded

Cause: 64 KB of short header lines take up about 1 MB in their parsed form. Result: TestHeadOfManyLinesIsGivenUp passes; a body with as many lines is not counted.

--- a/exchanger/answer_test.go
+++ b/exchanger/answer_test.go
@@ -63,6 +63,28 @@
 	}
 }
 
+// The head of an answer with very many short lines is given up at a limit of lines: its parsed
+// form takes up many times its bytes. A body with as many lines is not counted.
+func TestHeadOfManyLinesIsGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	for body, head := range map[string]string{
+		"":                               strings.Repeat("X:\r\n", 3*maxHeadLines),
+		strings.Repeat("\n", readBuffer): "X: y\r\n",
+	} {
+		s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+			if r, ok := readRequest(br); ok {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nId: %s\r\nContent-Length: %d\r\n%s\r\n%s", r.Header.Get("Id"), len(body), head, body)
+			}
+		})
+		if body != "" {
+			g.Expect(mustExchange(g, newPool(), getCall(s.Addr().String(), "a"))).To(Equal(body))
+			continue
+		}
+		_, err := newPool().Do(context.Background(), getCall(s.Addr().String(), "a"))
+		g.Expect(err).To(HaveOccurred())
+	}
+}
+
 // heapInUse returns the bytes of allocated heap objects after a garbage collection.
 func heapInUse() int64 {
 	runtime.GC()
