informer: the reports that a router holds are bounded

Cause: anyone who reaches the port can send reports of any number of routers, which are held until they expire. Change: reports of further routers are ignored beyond 4 MB of messages. Result: TestStoredReportsAreBounded passes.

--- a/informer/exchange.go
+++ b/informer/exchange.go
@@ -35,6 +35,9 @@
 	// A hub with an older one is skipped: it does not reach the store, and other
 	// routers do.
 	maxHubLag = time.Second
+	// maxReportBytes bounds the messages whose reports a router holds, in bytes. Anyone may
+	// send reports of any number of routers; those of 1,200 routers take up less.
+	maxReportBytes = 4 << 20
 	// maxCandidates is how many hub candidates with an entry in the store are enough.
 	// It keeps the cost of the entries independent of the fleet's size.
 	maxCandidates = 6
@@ -88,8 +91,10 @@
 	peers   map[identifier.Router]Peer
 	hubs    map[identifier.Router]*hub
 	reports map[identifier.Router]*report
-	sent    [sentHistory]sentReport
-	number  uint64
+	// reportBytes is the size of the messages of reports, in bytes.
+	reportBytes int
+	sent        [sentHistory]sentReport
+	number      uint64
 	// routers is the number of routers in the latest total, including this one.
 	routers int
 }
@@ -202,12 +207,21 @@
 }
 
 // receiveReport stores another router's report. It ignores reports of this router itself,
-// and those that are not newer than the stored one of the same incarnation.
+// those that are not newer than the stored one of the same incarnation, and those that would
+// make the stored reports exceed maxReportBytes.
 func (x *exchange) receiveReport(now identifier.Instant, m message, from netip.AddrPort) {
 	r := x.reports[m.From]
 	if m.From == x.self || r != nil && r.Incarnation == m.Incarnation && m.Number <= r.Number {
 		return
 	}
+	stored := x.reportBytes + m.size
+	if r != nil {
+		stored -= r.size
+	}
+	if stored > maxReportBytes {
+		return
+	}
+	x.reportBytes = stored
 	x.reports[m.From] = &report{message: m, address: from, receivedAt: now}
 }
 
@@ -217,6 +231,7 @@
 	for id, r := range x.reports {
 		if now.Sub(r.receivedAt) > reportTTL {
 			delete(x.reports, id)
+			x.reportBytes -= r.size
 			continue
 		}
 		reports = append(reports, r)
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -145,6 +145,7 @@
 			i.log.Warn("received message is not valid", zap.Stringer("peer", from), reporter.Error(err))
 			continue
 		}
+		m.size = n
 		reporter.Guard(i.log, "take message", func() { i.handle(clocker.Now(), m, from) })
 	}
 }
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/netip"
 	"sync"
@@ -345,3 +346,19 @@
 	other.SetPeers(list)
 	g.Eventually(panicking.calls.Load, "3s").Should(BeNumerically(">=", 3))
 }
+
+// Anyone may send reports of any number of routers. Those that a router holds are bounded,
+// and reports of the routers that it already holds are still taken.
+func TestStoredReportsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	const second, size = identifier.Instant(time.Second), 50 << 10
+	x := newExchange("a")
+	for n := range uint64(1000) {
+		x.receiveReport(second, message{From: identifier.Router(fmt.Sprint("r", n)), Incarnation: 1, Number: 1, size: size}, anyAddress)
+	}
+	g.Expect(x.reports).To(HaveLen(maxReportBytes / size))
+	x.receiveReport(second, message{From: "r0", Incarnation: 1, Number: 2, size: size}, anyAddress)
+	g.Expect(x.reports["r0"].Number).To(BeEquivalentTo(2))
+	g.Expect(x.liveReports(second.Add(2 * reportTTL))).To(BeEmpty())
+	g.Expect(x.reportBytes).To(BeZero())
+}
--- a/informer/message.go
+++ b/informer/message.go
@@ -30,6 +30,8 @@
 	// Changes is set in a total if the sender knows changes of the store that the
 	// receiver does not know.
 	Changes *relayer.ChangeSet `cbor:"8,keyasint,omitempty"`
+	// size is the size of a received message in bytes.
+	size int
 }
 
 // encodedMessage is a message with an encoded summary. A hub sends the same summary to
