--- a/forwarder/callers_test.go
+++ b/forwarder/callers_test.go
@@ -141,3 +141,21 @@
 	g.Expect(c.loggedID()).To(HaveLen(maxLoggedText))
 	g.Expect(c.connError).To(HaveLen(maxLoggedText))
 }
+
+// The limits of request heads follow the configuration in force, with a margin, so that no
+// head within them is rejected. Before the first one, heads of 64 KB are accepted.
+func TestHeadLimitsFollowConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, completeAnswer)
+	status := func(size int) int {
+		r := f.request(http.MethodGet, "/lookup/1", "")
+		r.Header.Set("Padding", strings.Repeat("p", size))
+		return f.send(r).status
+	}
+	g.Expect(status(60 << 10)).To(Equal(http.StatusOK))
+	s := *f.state.snapshot.Load()
+	s.Revision, s.Limits.MaxHeadBytes = 2, 16<<10
+	g.Expect(f.SetSnapshot(&s)).To(BeTrue())
+	g.Expect(status(16 << 10)).To(Equal(http.StatusOK))
+	g.Expect(status(16<<10 + headMargin)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+}
