--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -34,6 +34,9 @@
 	// fullyWritten reports whether the last request was written completely. It is read
 	// only after writeDone is closed.
 	fullyWritten bool
+	// pool counts the connection until forgotten is set, which its lock guards.
+	pool      *Pool
+	forgotten bool
 }
 
 // readBuffer is the size of a connection's read buffer, in bytes.
@@ -44,7 +47,13 @@
 	return &conn{Conn: c, br: bufio.NewReaderSize(limiter, readBuffer), headLimiter: limiter, idleTimeout: defaultIdleTimeout}
 }
 
-func (k *conn) close() { _ = k.Close() }
+// close closes the connection. The caller must not hold the lock of its pool.
+func (k *conn) close() {
+	_ = k.Close()
+	if k.pool != nil {
+		k.pool.closed(k)
+	}
+}
 
 // usable reports whether an idle connection is open and has received no byte. Bytes that
 // arrive while no request is pending belong to no request.
--- a/exchanger/exchanger_test.go
+++ b/exchanger/exchanger_test.go
@@ -340,3 +340,35 @@
 	stop()
 	g.Expect(p.Probe(done, address)).To(And(HaveOccurred(), Not(MatchError(ErrRefused))), "neither is known")
 }
+
+// The connections to all targets are bounded. Without a bound, each request in flight may
+// take up a descriptor besides that of its caller. Beyond it, an idle connection makes room,
+// and a request fails before it is sent if none is idle.
+func TestConnectionsToAllTargetsAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	answer := func(_ int64, c net.Conn, br *bufio.Reader) {
+		serveRequests(br, func(r *http.Request) bool {
+			_, _ = io.WriteString(c, answerText(r.Header.Get("Id"), "x"))
+			return false
+		})
+	}
+	first, second := newTarget(t, answer), newTarget(t, answer)
+	p := newPool()
+	p.cfg.MaxConns = 1
+	g.Expect(mustExchange(g, p, getCall(first.Addr().String(), "a"))).To(Equal("x"))
+	a, err := p.Do(context.Background(), getCall(second.Addr().String(), "b"))
+	g.Expect(err).NotTo(HaveOccurred(), "the idle connection makes room")
+	_, err = p.Do(context.Background(), getCall(first.Addr().String(), "c"))
+	g.Expect(errors.Is(err, ErrTooManyConnections)).To(BeTrue())
+	var fault *Fault
+	g.Expect(errors.As(err, &fault)).To(BeTrue())
+	g.Expect(fault.MaybeSent).To(BeFalse())
+	a.Abort()
+	g.Expect(mustExchange(g, p, getCall(first.Addr().String(), "d"))).To(Equal("x"))
+	p.CloseIdle(first.Addr().String())
+	g.Eventually(func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.open
+	}, "2s").Should(BeZero())
+}
--- a/exchanger/pool.go
+++ b/exchanger/pool.go
@@ -24,6 +24,8 @@
 	AckTimeout time.Duration
 	// MaxIdle bounds the number of idle connections to one address.
 	MaxIdle int
+	// MaxConns bounds the open connections to all addresses, zero for no bound.
+	MaxConns int
 	// Identify returns the id of the request that an answer belongs to, or an empty
 	// string if the answer carries none. It is nil if answers never carry one.
 	Identify func(http.Header) string
@@ -50,8 +52,10 @@
 	mu     sync.Mutex
 	// idle holds the idle connections by address, the most recently used last.
 	idle map[string][]*conn
-	// opened counts the connections opened since the pool was created.
+	// opened counts the connections opened since the pool was created, and open those that
+	// are open or being opened.
 	opened uint64
+	open   int
 }
 
 // New returns an empty pool.
@@ -159,15 +163,68 @@
 	return nil
 }
 
+// dial opens a connection. It returns ErrTooManyConnections if MaxConns are in use.
 func (p *Pool) dial(ctx context.Context, address string) (*conn, error) {
+	if !p.reserve() {
+		return nil, ErrTooManyConnections
+	}
 	nc, err := p.dialer.DialContext(ctx, "tcp4", address)
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	if err != nil {
+		p.open--
 		return nil, err
 	}
-	p.mu.Lock()
 	p.opened++
-	p.mu.Unlock()
-	return newConn(nc), nil
+	k := newConn(nc)
+	k.pool = p
+	return k, nil
+}
+
+// ErrTooManyConnections means that a pool has as many connections in use as it may have. It
+// is no evidence about a target.
+var ErrTooManyConnections = errors.New("too many connections to targets")
+
+// reserve counts a connection that is about to be opened. If there are MaxConns, it closes
+// an idle one for it, or reports false if none is idle.
+func (p *Pool) reserve() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cfg.MaxConns > 0 && p.open >= p.cfg.MaxConns && !p.closeAnyIdle() {
+		return false
+	}
+	p.open++
+	return true
+}
+
+// closeAnyIdle closes the longest idle connection to some address, and reports false if
+// there is none. The caller must hold mu.
+func (p *Pool) closeAnyIdle() bool {
+	for address, list := range p.idle {
+		if len(list) == 0 {
+			continue
+		}
+		p.idle[address] = list[1:]
+		p.forget(list[0])
+		go list[0].close()
+		return true
+	}
+	return false
+}
+
+// forget stops counting a connection. The caller must hold mu.
+func (p *Pool) forget(k *conn) {
+	if !k.forgotten {
+		k.forgotten = true
+		p.open--
+	}
+}
+
+// closed records that a connection was closed.
+func (p *Pool) closed(k *conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.forget(k)
 }
 
 // putIdle returns a connection to the pool that is idle from now on.
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -99,7 +99,7 @@
 
 // connResult returns the result that an error of the connection stands for.
 func (f *Forwarder) connResult(ctx context.Context, err error) admitter.Result {
-	if ctx.Err() != nil || errors.Is(err, exchanger.ErrUnwanted) {
+	if ctx.Err() != nil || errors.Is(err, exchanger.ErrUnwanted) || errors.Is(err, exchanger.ErrTooManyConnections) {
 		// Nothing was sent, or the caller no longer waits: the error is not evidence
 		// about the target.
 		return admitter.Inconclusive
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -27,6 +27,8 @@
 	Identify func(http.Header) string
 	// MaxCallers bounds the number of connections from callers, zero for no bound.
 	MaxCallers int
+	// MaxTargetConns bounds the number of connections to targets, zero for no bound.
+	MaxTargetConns int
 	// Heads bounds the memory of request heads, and is shared with the process's other
 	// ports. Nil is no bound.
 	Heads *acceptor.HeadBudget
@@ -137,7 +139,7 @@
 	f := &Forwarder{
 		cfg:            cfg,
 		state:          newState(cfg.Tunables),
-		conns:          exchanger.New(exchanger.Config{DialTimeout: dialTimeout, AckTimeout: ackTimeout, MaxIdle: maxIdlePerTarget, Identify: cfg.Identify}),
+		conns:          exchanger.New(exchanger.Config{DialTimeout: dialTimeout, AckTimeout: ackTimeout, MaxIdle: maxIdlePerTarget, MaxConns: cfg.MaxTargetConns, Identify: cfg.Identify}),
 		log:            cfg.Log.Named("forwarder"),
 		callers:        acceptor.NewConnTracker(cfg.MaxCallers),
 		newerPositions: make(chan int64, 1),
