forwarder: rejections before a request is accepted are logged as counts

The fuzz target of heads knows where bodies are read more strictly than in net/http: lines of trailers without CR, sizes of more than 15 digits.

--- a/acceptor/fuzz_test.go
+++ b/acceptor/fuzz_test.go
@@ -13,6 +13,10 @@
 // net/http accepts.
 var foldedFraming = regexp.MustCompile(`(?im)^(content-length|transfer-encoding):[^\n]*\n[ \t]`)
 
+// strictBody matches what a body may have only in net/http: a line of a trailer without CR, and
+// a chunk's size with more than maxChunkDigits digits.
+var strictBody = regexp.MustCompile(`(^|[^\r])\n|[0-9a-fA-F]{16}`)
+
 // FuzzHead checks that the end of a request does not depend on how its bytes are divided
 // into reads, and that it is where net/http ends it. Another end would lose or mix requests,
 // or hide a head from the limits.
@@ -43,6 +47,9 @@
 		if used := len(raw) - rest.Buffered(); used != end {
 			t.Fatalf("the head of %q ends at %d, in net/http at %d", raw, end, used)
 		}
+		if !ok && strictBody.Match(raw[end:]) {
+			return
+		}
 		if _, err := io.Copy(io.Discard, req.Body); err == nil && length != len(raw)-rest.Buffered() {
 			t.Fatalf("request %q ends at %d, in net/http at %d", raw, length, len(raw)-rest.Buffered())
 		}
--- a/forwarder/callers_test.go
+++ b/forwarder/callers_test.go
@@ -12,6 +12,8 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"buckthorndrum/acceptor"
 	"buckthorndrum/clocker"
@@ -159,3 +161,29 @@
 	g.Expect(status(16 << 10)).To(Equal(http.StatusOK))
 	g.Expect(status(16<<10 + headMargin)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
 }
+
+// Rejections are logged as counts, at most one line in rejectionLogInterval, so that callers
+// cannot fill the log.
+func TestRejectionsAreLoggedAsCounts(t *testing.T) {
+	g := NewWithT(t)
+	core, lines := observer.New(zap.WarnLevel)
+	cfg := testConfig(t)
+	cfg.Log = zap.New(core)
+	f := newFleetWith(t, cfg, completeAnswer)
+	for range 5 {
+		r := f.request(http.MethodGet, "/lookup/1", "")
+		r.Header.Set("Padding", strings.Repeat("p", 80<<10))
+		_ = f.send(r)
+	}
+	g.Expect(f.cfg.Heads.Rejected(acceptor.HeadTooLarge)).To(BeEquivalentTo(5))
+	logged := func() int64 {
+		sum := int64(0)
+		for _, l := range lines.FilterMessage("requests rejected before they were accepted").All() {
+			n, _ := l.ContextMap()["head too large"].(int64)
+			sum += n
+		}
+		return sum
+	}
+	g.Eventually(logged, "2s").Should(BeNumerically(">", 0))
+	g.Consistently(func() int { return lines.Len() }, "600ms").Should(Equal(1))
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -104,9 +104,11 @@
 	metrics   *metrics
 	overload  overload
 	durations durations
-	log       *zap.Logger
-	ctx       context.Context
-	cancel    context.CancelFunc
+	// rejections is what was logged of the rejections on all ports of the process.
+	rejections rejectionLog
+	log        *zap.Logger
+	ctx        context.Context
+	cancel     context.CancelFunc
 	// requestCtx is the parent context of all requests in flight. cancelRequests ends
 	// it, so that each of them is answered at once with what is known about it.
 	requestCtx     context.Context
@@ -150,6 +152,7 @@
 	f.requestCtx, f.cancelRequests = context.WithCancel(context.Background())
 	f.listener = l
 	f.memory.limit = cfg.MaxBufferedBytes
+	f.rejections.counts = map[acceptor.Rejection]int64{}
 	f.metrics = newMetrics(f)
 	f.server = &http.Server{
 		Handler:           f,
@@ -198,6 +201,7 @@
 func (f *Forwarder) sweepOnce(now identifier.Instant) {
 	f.conns.CloseExpired(now)
 	f.callers.CloseIdle(now, f.idleTimeout())
+	f.logRejections(now)
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
 	f.state.admitter.Tick(now)
