--- a/acceptor/conn_test.go
+++ b/acceptor/conn_test.go
@@ -75,6 +75,7 @@
 			return all
 		}
 		body, err := io.ReadAll(resp.Body)
+		_ = resp.Body.Close()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/acceptor/fuzz_test.go
+++ b/acceptor/fuzz_test.go
@@ -33,29 +33,36 @@
 		if end != stepEnd || length != stepLength || ok != stepOK {
 			t.Fatalf("at once: head %d, request %d, %v; in parts of %d: %d, %d, %v", end, length, ok, 1+int(step), stepEnd, stepLength, stepOK)
 		}
-		rest := bufio.NewReaderSize(bytes.NewReader(raw), max(len(raw), 8<<10))
-		req, err := http.ReadRequest(rest)
-		if err != nil || req.ProtoMajor != 1 {
-			return
-		}
-		if end == 0 {
-			if !ok && validNames(req.Header) && !foldedFraming.Match(raw) {
-				t.Fatalf("%q is rejected", raw)
-			}
-			return
-		}
-		if used := len(raw) - rest.Buffered(); used != end {
-			t.Fatalf("the head of %q ends at %d, in net/http at %d", raw, end, used)
-		}
-		if !ok && strictBody.Match(raw[end:]) {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err == nil && length != len(raw)-rest.Buffered() {
-			t.Fatalf("request %q ends at %d, in net/http at %d", raw, length, len(raw)-rest.Buffered())
-		}
+		compareWithServer(t, raw, end, length, ok)
 	})
 }
 
+// compareWithServer checks the ends of a head and of its body, as scanRequest returns them,
+// against those that net/http finds.
+func compareWithServer(t *testing.T, raw []byte, end, length int, ok bool) {
+	t.Helper()
+	rest := bufio.NewReaderSize(bytes.NewReader(raw), max(len(raw), 8<<10))
+	req, err := http.ReadRequest(rest)
+	if err != nil || req.ProtoMajor != 1 {
+		return
+	}
+	if end == 0 {
+		if !ok && validNames(req.Header) && !foldedFraming.Match(raw) {
+			t.Fatalf("%q is rejected", raw)
+		}
+		return
+	}
+	if used := len(raw) - rest.Buffered(); used != end {
+		t.Fatalf("the head of %q ends at %d, in net/http at %d", raw, end, used)
+	}
+	if !ok && strictBody.Match(raw[end:]) {
+		return
+	}
+	if _, err := io.Copy(io.Discard, req.Body); err == nil && length != len(raw)-rest.Buffered() {
+		t.Fatalf("request %q ends at %d, in net/http at %d", raw, length, len(raw)-rest.Buffered())
+	}
+}
+
 // scanRequest scans a request in parts of the given size and returns the ends of its head
 // and its body. The first is zero if the head is not complete, the second if the body is
 // not. ok is false if one of them is malformed.
--- a/agent/agent.go
+++ b/agent/agent.go
@@ -36,6 +36,8 @@
 	// housekeepingInterval is how often old answers are dropped and missing peers are
 	// dialled.
 	housekeepingInterval = 200 * time.Millisecond
+	// headTimeout bounds the time in which a request head of HTTP/1 must be complete.
+	headTimeout = 5 * time.Second
 	// abandonTimeout is how long a request without a key goes on without a reader of its
 	// answer.
 	abandonTimeout = 10 * time.Second
@@ -76,6 +78,7 @@
 	}
 	bounds := acceptor.ProcessConfig(cfg.Listen)
 	bounds.HTTP2, bounds.TLS = true, sec.TLS() != nil
+	bounds.Heads.Timeout = headTimeout
 	l, err := acceptor.Listen(bounds)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listen for agent of target %q on %s", cfg.Target, cfg.Listen)
