--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -100,7 +100,7 @@
 
 // connResult returns the result that an error of the connection stands for.
 func (f *Forwarder) connResult(ctx context.Context, err error) admitter.Result {
-	if ctx.Err() != nil || errors.Is(err, exchanger.ErrUnwanted) {
+	if ctx.Err() != nil || errors.Is(err, exchanger.ErrUnwanted) || errors.Is(err, exchanger.ErrTooManyConnections) {
 		// Nothing was sent, or the caller no longer waits: the error is not evidence
 		// about the target.
 		return admitter.Inconclusive
@@ -157,7 +157,7 @@
 		return f.correctStatus(c, &errorAnswer{status: http.StatusServiceUnavailable, reason: "All targets are busy.", retryAfter: time.Second})
 	}
 	c.retryGranted = false
-	f.log.Info("sending again", zap.String("request", string(c.info.ID)), zap.String("target", string(t.choice.Target)), zap.String("reason", reason),
+	f.log.Info("sending again", zap.String("request", c.loggedID()), zap.String("target", string(t.choice.Target)), zap.String("reason", reason),
 		zap.Int("sends", c.attempts), zap.Int("runs", c.runs), zap.String("fault", c.connError))
 	return nil
 }
--- a/forwarder/callers_test.go
+++ b/forwarder/callers_test.go
@@ -6,13 +6,18 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 
 	"buckthorndrum/acceptor"
 	"buckthorndrum/clocker"
+	"buckthorndrum/identifier"
 )
 
 // connPair returns the two ends of a connection.
@@ -112,3 +117,73 @@
 	_, err = caller.Read(make([]byte, 1))
 	g.Expect(err).To(MatchError(io.EOF))
 }
+
+// A caller that does not read its answer gives back the memory of the answer some time
+// after its deadline. It kept it for as long as its connection was open before.
+func TestAnswerToCallerThatDoesNotReadIsGivenUp(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, fixedAnswer(http.StatusOK, "Seal: s\r\n", strings.Repeat("x", maxBufferedAnswer-1)))
+	c, err := net.Dial("tcp4", f.address)
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = c.Close() }()
+	g.Expect(c.(*net.TCPConn).SetReadBuffer(4 << 10)).To(Succeed())
+	_, err = io.WriteString(c, "GET /lookup/1 HTTP/1.1\r\nHost: desk\r\nId: id1\r\nKey: k\r\nPatience: 2000\r\n\r\n")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Eventually(f.memory.used.Load, "4s").Should(BeNumerically(">=", maxBufferedAnswer))
+	g.Eventually(f.memory.used.Load, slowReaderMargin+4*time.Second).Should(BeZero())
+	g.Eventually(f.callers.Count, "2s").Should(BeZero())
+}
+
+// Text that callers and targets choose is cut off in log lines.
+func TestLoggedTextIsBounded(t *testing.T) {
+	g := NewWithT(t)
+	c := &call{}
+	c.info.ID = identifier.Request(strings.Repeat("i", 10*maxLoggedText))
+	c.recordConnError(errors.New(strings.Repeat("e", 10*maxLoggedText)))
+	g.Expect(c.loggedID()).To(HaveLen(maxLoggedText))
+	g.Expect(c.connError).To(HaveLen(maxLoggedText))
+}
+
+// The limits of request heads follow the configuration in force, with a margin, so that no
+// head within them is rejected. Before the first one, heads of 64 KB are accepted.
+func TestHeadLimitsFollowConfiguration(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, completeAnswer)
+	status := func(size int) int {
+		r := f.request(http.MethodGet, "/lookup/1", "")
+		r.Header.Set("Padding", strings.Repeat("p", size))
+		return f.send(r).status
+	}
+	g.Expect(status(60 << 10)).To(Equal(http.StatusOK))
+	s := *f.state.snapshot.Load()
+	s.Revision, s.Limits.MaxHeadBytes = 2, 16<<10
+	g.Expect(f.SetSnapshot(&s)).To(BeTrue())
+	g.Expect(status(16 << 10)).To(Equal(http.StatusOK))
+	g.Expect(status(16<<10 + headMargin)).To(Equal(http.StatusRequestHeaderFieldsTooLarge))
+}
+
+// Rejections are logged as counts, at most one line in rejectionLogInterval, so that callers
+// cannot fill the log.
+func TestRejectionsAreLoggedAsCounts(t *testing.T) {
+	g := NewWithT(t)
+	core, lines := observer.New(zap.WarnLevel)
+	cfg := testConfig(t)
+	cfg.Log = zap.New(core)
+	f := newFleetWith(t, cfg, completeAnswer)
+	for range 5 {
+		r := f.request(http.MethodGet, "/lookup/1", "")
+		r.Header.Set("Padding", strings.Repeat("p", 80<<10))
+		_ = f.send(r)
+	}
+	g.Expect(f.cfg.Heads.Rejected(acceptor.HeadTooLarge)).To(BeEquivalentTo(5))
+	logged := func() int64 {
+		sum := int64(0)
+		for _, l := range lines.FilterMessage("requests rejected before they were accepted").All() {
+			n, _ := l.ContextMap()["head too large"].(int64)
+			sum += n
+		}
+		return sum
+	}
+	g.Eventually(logged, "2s").Should(BeNumerically(">", 0))
+	g.Consistently(func() int { return lines.Len() }, "600ms").Should(Equal(1))
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,6 +28,11 @@
 	Identify func(http.Header) string
 	// MaxCallers bounds the number of connections from callers, zero for no bound.
 	MaxCallers int
+	// MaxTargetConns bounds the number of connections to targets, zero for no bound.
+	MaxTargetConns int
+	// Heads bounds the memory of request heads, and is shared with the process's other
+	// ports. Nil is no bound.
+	Heads *acceptor.HeadBudget
 	// MaxBufferedBytes bounds the total size of the request bodies and answers in
 	// memory, in bytes, zero for no bound.
 	MaxBufferedBytes int64
@@ -74,11 +79,12 @@
 	ackTimeout = 1500 * time.Millisecond
 	// maxIdlePerTarget bounds the idle connections to one target.
 	maxIdlePerTarget = 64
-	// maxHeaderBytes bounds the request line and header of a caller's request, in
-	// bytes.
-	maxHeaderBytes = 64 << 10
-	// headerTimeout bounds the time to read a caller's header.
+	// headerTimeout is how long a new connection may send nothing.
 	headerTimeout = 10 * time.Second
+	// slowReaderMargin is how long after the deadline of a request its caller may still
+	// take to read the answer, and how long it may take to read one that is given before
+	// the deadline is known.
+	slowReaderMargin = 3 * time.Second
 	// defaultIdleTimeout is how long a caller's connection may be idle if the
 	// configuration does not say.
 	defaultIdleTimeout = time.Minute
@@ -101,7 +107,9 @@
 	metrics   *metrics
 	overload  overload
 	durations durations
-	log       *zap.Logger
+	// rejections is what was logged of the rejections on all ports of the process.
+	rejections rejectionLog
+	log        *zap.Logger
 	// startedAt is when the forwarder started.
 	startedAt identifier.Instant
 	ctx       context.Context
@@ -123,16 +131,22 @@
 	if err := cfg.Check(); err != nil {
 		return nil, errors.Wrap(err, "check forwarder settings")
 	}
+	if cfg.Heads == nil {
+		cfg.Heads = acceptor.NewHeadBudget(0)
+	}
 	// Keep-alive probes on callers' connections would cost four system calls each. They
 	// are not needed: idle connections are closed, and others have a time limit.
-	l, err := acceptor.Listen(net.ListenConfig{KeepAlive: -1}, "tcp4", cfg.Listen)
+	l, err := acceptor.Listen(acceptor.Config{
+		Network: "tcp4", Address: cfg.Listen, Options: net.ListenConfig{KeepAlive: -1},
+		Budget: cfg.Heads, MaxConns: cfg.MaxCallers,
+	})
 	if err != nil {
 		return nil, errors.Wrap(err, "open the callers' port")
 	}
 	f := &Forwarder{
 		cfg:            cfg,
 		state:          newState(cfg.Tunables),
-		conns:          exchanger.New(exchanger.Config{DialTimeout: dialTimeout, AckTimeout: ackTimeout, MaxIdle: maxIdlePerTarget, Identify: cfg.Identify}),
+		conns:          exchanger.New(exchanger.Config{DialTimeout: dialTimeout, AckTimeout: ackTimeout, MaxIdle: maxIdlePerTarget, MaxConns: cfg.MaxTargetConns, Identify: cfg.Identify}),
 		log:            cfg.Log.Named("forwarder"),
 		callers:        acceptor.NewConnTracker(cfg.MaxCallers),
 		newerPositions: make(chan int64, 1),
@@ -144,12 +158,14 @@
 	f.requestCtx, f.cancelRequests = context.WithCancel(context.Background())
 	f.listener = l
 	f.memory.limit = cfg.MaxBufferedBytes
+	f.rejections.counts = map[acceptor.Rejection]int64{}
 	f.metrics = newMetrics(f)
 	f.updatePacing(f.startedAt)
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		WriteTimeout:      slowReaderMargin,
+		MaxHeaderBytes:    acceptor.MaxHeadBytes,
 		ConnState:         f.callers.SetState,
 		BaseContext:       func(net.Listener) context.Context { return f.requestCtx },
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
@@ -192,6 +208,7 @@
 func (f *Forwarder) sweepOnce(now identifier.Instant) {
 	f.conns.CloseExpired(now)
 	f.callers.CloseIdle(now, f.idleTimeout())
+	f.logRejections(now)
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
 	f.updatePacing(now)
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -72,6 +72,7 @@
 		defer f.state.mu.Unlock()
 		return float64(len(f.state.isolator.Blocks()))
 	})
+	m.registry.MustRegister(f.cfg.Heads.Collectors()...)
 	m.gauge("buckthorndrum_forwarder_caller_connections", "Callers' connections.", func() float64 { return float64(f.callers.Count()) })
 	m.gauge("buckthorndrum_forwarder_target_connections_opened", "Connections to targets opened since the start.", func() float64 { return float64(f.conns.Opened()) })
 	return m
--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -91,6 +91,7 @@
 	f.state.snapshot.Store(s)
 	f.state.admitter.SetColdRates(clocker.Now(), s.coldRates)
 	f.state.updateCapacity()
+	f.listener.SetHeadLimits(s.Limits.heads())
 	return true
 }
 
