admitter: engines are chosen by what peers have probably sent, at random if none has room

Cause: until the next reports all routers see the same engines idle and send their overflow to the same eight; the cost of a candidate did not contain the request's own prompt. Change: a candidate's load includes an estimate of what peers have sent since their reports; the overflow goes to a random target; prefixes that are requested often are cached at more targets, of which a request considers three at random; the cost contains the request's own prefill and 2 ms for another data centre, and six instead of ten times the time for recomputing.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -86,6 +86,8 @@
 	pools   map[identifier.Pool]*pool
 	// peerLoadsAt is when the loads of the peers were last set, zero if there are none.
 	peerLoadsAt identifier.Instant
+	// peerLoadDelay is how old they were then.
+	peerLoadDelay time.Duration
 	// prunedAt is when unused prefixes were last dropped.
 	prunedAt identifier.Instant
 	// departed holds the incarnations that have announced that they leave and are no
@@ -95,6 +97,10 @@
 	processes int
 	// candidates is the buffer for the targets that one choice evaluates.
 	candidates []candidate
+	// ringTargets is the buffer for the targets at which a popular prefix is cached.
+	ringTargets []*targetState
+	// popular counts the requests by prefix.
+	popular popularity
 }
 
 // New returns an admitter without targets.
@@ -121,14 +127,14 @@
 			s = &targetState{prefixes: prefixCache{}, latency: initialLatency[t.Pool]}
 			a.restoreDeparted(t, s)
 		}
-		s.Target = t
+		s.Target, s.pool = t, p
 		s.admission.SetListedLeaving(t.Leaving)
 		next[t.ID] = s
 		p.targets = append(p.targets, s)
 	}
 	for id, p := range pools {
 		if old := a.pools[id]; old != nil {
-			p.ring = old.ring
+			p.ring, p.unreported = old.ring, old.unreported
 		}
 		p.ring.setTargets(withoutLeaving(p.targets))
 	}
@@ -154,7 +160,8 @@
 	if p == nil {
 		return Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
 	}
-	p.summarise(now)
+	p.unreported.dropBefore(now.Add(-peerLoadTTL))
+	p.summarise(now, a.processes)
 	limited := false
 	for {
 		c := a.chooseFromPool(now, p, req)
@@ -244,7 +251,12 @@
 	t.limit.RecordSent(now)
 	t.lastAttempt = now
 	if req.Model != "" {
-		t.prefixes.touch(now, prefixKeys(req.Model, req.Segments))
+		keys := prefixKeys(req.Model, req.Segments)
+		t.prefixes.touch(now, keys)
+		if len(keys) > 1 {
+			a.popular.record(now, keys[len(keys)-2])
+		}
+		t.pool.unreported.record(now, t, c.PrefillTokens)
 	}
 	return attempt
 }
@@ -339,6 +351,7 @@
 	}
 	for _, p := range a.pools {
 		p.summarisedAt = 0
+		p.unreported.dropBefore(now.Add(-a.peerLoadDelay))
 	}
 }
 
--- a/admitter/comparison_test.go
+++ b/admitter/comparison_test.go
@@ -97,7 +97,7 @@
 func (v *alternative) choose(a *Admitter, now identifier.Instant, req Request) Choice {
 	p, s := a.pools[req.Pool], v.state(a)
 	s.update(a, p, v.reportDelay)
-	p.summarise(now)
+	p.summarise(now, a.processes)
 	keys := prefixKeys(req.Model, req.Segments)
 	preferred := v.preferredTargets(a, now, p, s, req, keys)
 	if len(preferred) == 0 {
@@ -115,7 +115,9 @@
 			v.draw(a, now, p, s, req, keys)
 		}
 		if v.random == 0 {
-			a.addShortestQueues(now, p, req, keys)
+			for _, t := range p.shortestQueues {
+				a.addCandidate(now, p, t, req, keys)
+			}
 		}
 		best = v.cheapest(a, p, s, a.candidates, req, spare)
 	}
@@ -190,10 +192,7 @@
 		if v.subset {
 			n = mix(s.number*8 + n%8)
 		}
-		t := p.targets[n%uint64(len(p.targets))]
-		if !a.isCandidate(t) && eligible(now, t, req.Exclude) && p.healthy(now, t) {
-			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
-		}
+		a.addCandidate(now, p, p.targets[n%uint64(len(p.targets))], req, keys)
 	}
 }
 
@@ -201,10 +200,13 @@
 func (v *alternative) cheapest(a *Admitter, p *pool, s *alternativeState, list []candidate, req Request, spare bool) *candidate {
 	for i := range list {
 		c := &list[i]
+		v.correct(a, p, s, c)
 		if v.former {
+			// Requests with longer prompts delay those behind them more, from 2,000 tokens on
+			// more than they are delayed themselves.
+			c.cost = c.queueDelay + time.Duration(float64(c.queueDelay)*float64(c.prefillTokens)/2000) + 10*c.target.latency.prefillTime(c.recomputeTokens)
 			continue
 		}
-		v.correct(a, p, s, c)
 		c.cost = c.queueDelay + c.prefillTime + time.Duration(v.recompute*float64(c.target.latency.prefillTime(c.recomputeTokens)))
 		if v.noise > 0 {
 			u := (float64(mix(req.Seed^uint64(i+1)*0x9e37)>>11) + 0.5) / (1 << 53)
--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -9,11 +9,12 @@
 const (
 	// recomputeWeight is the weight in the cost of the time in which shared prefixes are
 	// recomputed. It is more than that of the wait itself, since that time is taken from
-	// all requests.
-	recomputeWeight = 10
-	// typicalPrefill is the number of tokens to prefill from which on a request delays
-	// those behind it more than it is delayed itself.
-	typicalPrefill = 2000
+	// all requests. With 10, long prompts waited too long for their preferred targets, with 3
+	// more was recomputed (docs/design/balancing.md).
+	recomputeWeight = 6
+	// remoteCost is added to the cost of a target in another data centre than the router,
+	// so that of two equal ones the local one is chosen.
+	remoteCost = 2 * time.Millisecond
 	// longPrefillQueuePercent is the percentage of MaxWait that the queueing delay of a
 	// request with a long prefill may take.
 	longPrefillQueuePercent = 40
@@ -21,10 +22,12 @@
 	// which a pool counts as having spare capacity.
 	spareQueuePercent = 10
 	// maxPreferredTargets is how many targets requests with the same prefix are sent to
-	// at first. maxRingCandidates is how many targets of the ring are evaluated before
-	// those with the shortest queues.
+	// at first, unless the prefix is popular (see copies). maxRingCandidates is how many
+	// targets of the ring are evaluated before a random one.
 	maxPreferredTargets = 3
 	maxRingCandidates   = 8
+	// maxOverflowDraws is how many targets are drawn to find a random one that accepts work.
+	maxOverflowDraws = 8
 	// maxRingVisits limits the points of the ring that are visited to find them.
 	maxRingVisits = 256
 	// maxMemoryUse is the fraction of the memory of a target that running requests may
@@ -51,21 +54,25 @@
 }
 
 // chooseEngine chooses the target of a pool of model engines at which the request has the
-// lowest cost, which consists of the queueing delay and the shared prefixes that would
-// have to be recomputed. Other targets than the preferred ones are considered only if
-// none of these has room and the workspace is within its share. A workspace beyond its
-// share has shared prefixes recomputed only while the pool has spare capacity.
+// lowest cost, which consists of the queueing delay, the prefill of the request, and the
+// shared prefixes that would have to be recomputed. Other targets than the preferred ones are
+// considered only if none of these has room and the workspace is within its share. A
+// workspace beyond its share has shared prefixes recomputed only while the pool has spare
+// capacity.
 func (a *Admitter) chooseEngine(now identifier.Instant, p *pool, req Request) Choice {
 	keys := prefixKeys(req.Model, req.Segments)
 	candidates := a.ringCandidates(now, p, req, keys)
 	if len(candidates) == 0 {
 		return Choice{Refused: NoTarget}
 	}
+	if n := a.copies(now, p, req, keys); n > maxPreferredTargets {
+		candidates = a.spreadCandidates(now, p, req, keys, n)
+	}
 	preferred := min(len(candidates), maxPreferredTargets)
 	spareCapacity := req.WithinShare || p.meanQueueDelay <= spareQueuePercent*req.MaxWait/100
 	best := cheapest(candidates[:preferred], req, spareCapacity)
 	if best == nil && req.WithinShare {
-		best = cheapest(a.addShortestQueues(now, p, req, keys)[preferred:], req, spareCapacity)
+		best = cheapest(a.addOverflow(now, p, req, keys)[preferred:], req, spareCapacity)
 	}
 	if best == nil {
 		return Choice{Refused: TargetsBusy, Wait: a.shortestWait(p)}
@@ -81,9 +88,7 @@
 	visits := 0
 	p.ring.walk(ringKey(keys, req.Seed), func(t *targetState) bool {
 		visits++
-		if !a.isCandidate(t) && eligible(now, t, req.Exclude) && p.healthy(now, t) {
-			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
-		}
+		a.addCandidate(now, p, t, req, keys)
 		return len(a.candidates) < maxRingCandidates && visits < maxRingVisits
 	})
 	if len(a.candidates) == 0 {
@@ -113,17 +118,31 @@
 	return false
 }
 
-// addShortestQueues adds the healthy targets of the pool with the shortest queues to the
-// candidates, and returns all candidates.
-func (a *Admitter) addShortestQueues(now identifier.Instant, p *pool, req Request, keys []prefixKey) []candidate {
-	for _, t := range p.shortestQueues {
-		if !a.isCandidate(t) && eligible(now, t, req.Exclude) && p.healthy(now, t) {
-			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
+// addOverflow adds a random target to the candidates and returns all of them. The targets
+// with the shortest queues are the same at all routers until the next reports, which would
+// overload these and have shared prefixes recomputed there. They are added only if no random
+// target accepts work, or if so few have a free slot that a random one hardly does.
+func (a *Admitter) addOverflow(now identifier.Instant, p *pool, req Request, keys []prefixKey) []candidate {
+	before := len(a.candidates)
+	for i := uint64(0); i < maxOverflowDraws && len(a.candidates) == before; i++ {
+		a.addCandidate(now, p, p.targets[draw(req.Seed, maxPreferredTargets+i)%uint64(len(p.targets))], req, keys)
+	}
+	if len(a.candidates) == before || len(p.shortestQueues) < maxShortestQueues {
+		for _, t := range p.shortestQueues {
+			a.addCandidate(now, p, t, req, keys)
 		}
 	}
 	return a.candidates
 }
 
+// addCandidate adds target t to the candidates if it accepts work, is healthy and is not
+// among them.
+func (a *Admitter) addCandidate(now identifier.Instant, p *pool, t *targetState, req Request, keys []prefixKey) {
+	if !a.isCandidate(t) && eligible(now, t, req.Exclude) && p.healthy(now, t) {
+		a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
+	}
+}
+
 // shortestWait returns the shortest known time to the first token of the request. For the
 // pool it adds the prefill time at the first candidate to the shortest wait: that
 // candidate is the preferred target, where only the unshared tokens of the request are
@@ -155,11 +174,14 @@
 }
 
 // evaluate estimates the wait and the cost of the request at target t, which becomes the
-// candidate at index rank. The cost is the queueing delay, increased in proportion to the
-// prefill of the request (see typicalPrefill), plus the weighted time for recomputing
-// shared prefixes.
+// candidate at index rank. The load includes what peers have probably sent since their
+// reports. The cost is the queueing delay and the prefill of the request, so that of two idle
+// targets the faster one is cheaper, plus the weighted time for recomputing shared prefixes.
 func (a *Admitter) evaluate(now identifier.Instant, t *targetState, req Request, keys []prefixKey, rank int) candidate {
 	c := candidate{target: t, load: t.totalLoad()}
+	if t.pool != nil {
+		c.load.PrefillTokens += t.pool.unreported.at(t)
+	}
 	unshared := unsharedTokens(req)
 	c.prefillTokens = t.prefixes.uncachedTokens(now, req.Segments, keys, req.PromptTokens)
 	if rank == 0 {
@@ -171,7 +193,10 @@
 	c.queueDelay = t.latency.prefillTime(c.load.PrefillTokens)
 	c.prefillTime = t.latency.prefillTime(c.prefillTokens)
 	c.wait = t.latency.base + c.queueDelay + c.prefillTime
-	c.cost = c.queueDelay + time.Duration(float64(c.queueDelay)*float64(c.prefillTokens)/typicalPrefill) + recomputeWeight*t.latency.prefillTime(c.recomputeTokens)
+	c.cost = c.queueDelay + c.prefillTime + recomputeWeight*t.latency.prefillTime(c.recomputeTokens)
+	if t.DataCentre != req.LocalDataCentre {
+		c.cost += remoteCost
+	}
 	return c
 }
 
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -25,6 +25,10 @@
 	minFailureRate float64
 	meanQueueDelay time.Duration
 	minWait        time.Duration
+	// maxQueueDelay is the longest queueing delay.
+	maxQueueDelay time.Duration
+	// unreported estimates the load that peers have added since their reports.
+	unreported unreportedLoad
 	// shortestQueues holds the targets with a free slot and the shortest queueing delay,
 	// in ascending order, at most maxShortestQueues.
 	shortestQueues []*targetState
@@ -34,17 +38,18 @@
 const maxShortestQueues = 8
 
 // summarise computes the summary if it is out of date, so that a choice does not visit
-// every target.
-func (p *pool) summarise(now identifier.Instant) {
+// every target. processes is the number of routers, including this one.
+func (p *pool) summarise(now identifier.Instant, processes int) {
 	if p.summarisedAt != 0 && now >= p.summarisedAt && now.Sub(p.summarisedAt) < summaryTTL {
 		return
 	}
 	p.summarisedAt = now
-	p.minFailureRate, p.minWait = 1, -1
+	p.minFailureRate, p.minWait, p.maxQueueDelay = 1, -1, 0
 	p.shortestQueues = p.shortestQueues[:0]
 	var sum time.Duration
-	n := 0
+	n, ownRunning, peerRunning := 0, 0, 0
 	for _, t := range p.targets {
+		ownRunning, peerRunning = ownRunning+t.ownLoad.Running, peerRunning+t.peerLoad.Running
 		if !t.acceptsWork(now) {
 			continue
 		}
@@ -52,12 +57,14 @@
 		p.minFailureRate = min(p.minFailureRate, t.failureRate)
 		t.queueDelay = t.latency.prefillTime(t.totalLoad().PrefillTokens)
 		sum += t.queueDelay
+		p.maxQueueDelay = max(p.maxQueueDelay, t.queueDelay)
 		if wait := t.latency.base + t.queueDelay; p.minWait < 0 || wait < p.minWait {
 			p.minWait = wait
 		}
 		p.insertShortestQueue(t)
 	}
 	p.meanQueueDelay = sum / time.Duration(max(1, n))
+	p.unreported.update(ownRunning, peerRunning, processes, n)
 }
 
 // insertShortestQueue inserts target t into shortestQueues, in order, if it has a free
--- a/admitter/replay_test.go
+++ b/admitter/replay_test.go
@@ -264,6 +264,7 @@
 		a := New()
 		a.SetTargets(r.targets)
 		a.SetProcesses(cfg.routers)
+		a.SetPeerLoadDelay(cfg.reportAge / 2)
 		r.routers = append(r.routers, a)
 	}
 	r.run()
--- a/admitter/target.go
+++ b/admitter/target.go
@@ -58,8 +58,13 @@
 	// ownLoad is the load of the requests of this router, peerLoad that of all others.
 	ownLoad  Load
 	peerLoad Load
-	prefixes prefixCache
-	latency  latencyEstimate
+	// pool is the pool that the target is listed in.
+	pool *pool
+	// sentTokens is the number of prompt tokens of the requests that this router has sent
+	// to the target since the loads of the peers were taken (see unreportedLoad).
+	sentTokens int
+	prefixes   prefixCache
+	latency    latencyEstimate
 	// admission determines whether it may be given work.
 	admission permitter.AdmissionState
 	// limit keeps the requests of all routers to the rate that it names.
