--- a/admitter/popular.go
+++ b/admitter/popular.go
@@ -12,7 +12,7 @@
 	// copyOverhead is the part of the tokens read for a prefix that may be those of the
 	// prefix itself. A prefix is cached at as many targets as keep to that.
 	copyLifetime = 10 * time.Second
-	copyOverhead = 0.1
+	copyOverhead = 0.07
 	// maxCopies is the most targets at which a popular prefix is cached.
 	maxCopies = 32
 	// popularityWindow is the time constant with which the count of the requests with a
--- a/admitter/unreported.go
+++ b/admitter/unreported.go
@@ -10,7 +10,7 @@
 	// sameTargetWeight is the weight of what this router sent to the same target in the
 	// estimate for a target. The rest is the weight of what it sent to the pool, spread over
 	// its targets: what one router sends to one target is little, and varies much.
-	sameTargetWeight = 0.3
+	sameTargetWeight = 0.2
 	// runningDecay is the factor by which older counts of running requests weigh less with
 	// each summary of the pool.
 	runningDecay = 0.8
