forwarder, informer: the age of peers' loads reaches the choice; metrics of age and spread

Cause: the estimate of what peers have sent since their reports needs the age of these reports. Change: the informer passes on how old a summary is when it arrives: the age of the echoed report, at a hub the mean age of the reports. A histogram of the age at each choice, and gauges of the mean and the longest queue of the engines. Messages do not change.

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -278,6 +278,7 @@
 	}
 	choice := admitter.Choice{Refused: admitter.ShareExceeded, Wait: time.Second}
 	if req.Model == "" || c.runs > 0 || c.randomFraction() < f.state.sharer.AdmissionRatio(now, c.workspace) {
+		f.observeLoadAge(now)
 		choice = f.state.admitter.Choose(now, req)
 	}
 	c.shareRatio, c.latencyLimit, c.choice = shareRatio, req.MaxWait, choice
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -21,6 +21,7 @@
 	crashes   prometheus.Counter
 	firstByte prometheus.Histogram
 	duration  prometheus.Histogram
+	loadAge   prometheus.Histogram
 }
 
 // smallestBucket is the upper bound of the first bucket of the latency histograms, in
@@ -37,8 +38,10 @@
 		crashes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_target_crashes_total", Help: "Targets that ended while they ran requests of this router."}),
 		firstByte: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "buckthorndrum_forwarder_first_byte_seconds", Help: "Time from a request's arrival to the first part of its answer.", Buckets: buckets}),
 		duration:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "buckthorndrum_forwarder_request_seconds", Help: "Time from a request's arrival to its end.", Buckets: buckets}),
+		loadAge:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "buckthorndrum_forwarder_load_age_seconds", Help: "Age of what other routers have in flight when a target is chosen.", Buckets: buckets}),
 	}
-	m.registry.MustRegister(m.outcomes, m.attempts, m.notices, m.crashes, m.firstByte, m.duration)
+	m.registry.MustRegister(m.outcomes, m.attempts, m.notices, m.crashes, m.firstByte, m.duration, m.loadAge)
+	m.registerQueueGauges(f)
 	m.gauge("buckthorndrum_forwarder_config_revision", "Configuration revision in force.", func() float64 { return float64(f.Revision()) })
 	m.gauge("buckthorndrum_forwarder_proof_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
 		return clocker.Now().Sub(identifier.Instant(f.state.confirmedAt.Load())).Seconds()
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -27,6 +27,9 @@
 	// ReceivePeerSummary receives what all other routers together have under way, and
 	// the number of these routers.
 	ReceivePeerSummary(now identifier.Instant, others forwarder.Summary, routers int)
+	// SetPeerSummaryDelay receives how old the next summary of the other routers is when it
+	// arrives.
+	SetPeerSummaryDelay(d time.Duration)
 	// ReceivePeerStatus receives how far another router had followed the store at an
 	// instant.
 	ReceivePeerStatus(at identifier.Instant, s forwarder.Status)
@@ -160,6 +163,9 @@
 		i.cfg.State.ReceivePeerStatus(at, m.Status)
 	}
 	if mostComplete {
+		// The reports of the others took about as long as this router's own one, which the
+		// total echoes.
+		i.cfg.State.SetPeerSummaryDelay(now.Sub(at))
 		i.cfg.State.ReceivePeerSummary(now, others, m.Routers-1)
 	}
 }
@@ -274,10 +280,13 @@
 		return
 	}
 	others := forwarder.NewSummary()
+	var ages time.Duration
 	for _, r := range reports {
 		others.Add(r.Summary.Aged(now.Sub(r.receivedAt)))
+		ages += now.Sub(r.receivedAt)
 	}
 	if mostComplete {
+		i.cfg.State.SetPeerSummaryDelay(ages / time.Duration(len(reports)))
 		i.cfg.State.ReceivePeerSummary(now, others, len(reports))
 	}
 	i.totalNumber++
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -54,6 +54,8 @@
 	r.others, r.routers = others, routers
 }
 
+func (r *fakeState) SetPeerSummaryDelay(time.Duration) {}
+
 func (r *fakeState) ReceivePeerStatus(_ identifier.Instant, s forwarder.Status) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
