--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -26,6 +26,7 @@
 	others  forwarder.Summary
 	routers int
 	status  forwarder.Status
+	delay   time.Duration
 }
 
 func newFakeState(running int) *fakeState {
@@ -54,7 +55,11 @@
 	r.others, r.routers = others, routers
 }
 
-func (r *fakeState) SetPeerSummaryDelay(time.Duration) {}
+func (r *fakeState) SetPeerSummaryDelay(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = d
+}
 
 func (r *fakeState) ReceivePeerStatus(_ identifier.Instant, s forwarder.Status) {
 	r.mu.Lock()
@@ -106,6 +111,22 @@
 	}
 }
 
+// TestSummariesHaveDelay checks that routers and hubs learn how old the reports in a summary
+// are. Without it they would take old loads of targets for new ones.
+func TestSummariesHaveDelay(t *testing.T) {
+	g := NewWithT(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	_, states := startRouters(t, ctx, 1, 2, 4)
+	for n := range states {
+		g.Eventually(func() time.Duration {
+			states[n].mu.Lock()
+			defer states[n].mu.Unlock()
+			return states[n].delay
+		}, "3s").Should(And(BeNumerically(">", 0), BeNumerically("<", reportTTL)), "router %d", n)
+	}
+}
+
 // TestNoticesReachOtherRouters checks that the notice that a target has sent to one router
 // reaches the others through a hub, with its age increased by the time that this took.
 func TestNoticesReachOtherRouters(t *testing.T) {
