--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -103,6 +103,10 @@
 	pools   map[identifier.Pool]*pool
 	// peerLoadsAt is when the loads of the peers were last set, zero if there are none.
 	peerLoadsAt identifier.Instant
+	// evenLoad is set if the load is evened out (see EvenOutLoad).
+	evenLoad bool
+	// peerLoadDelay is how old the loads of the peers were at peerLoadsAt.
+	peerLoadDelay time.Duration
 	// prunedAt is when unused prefixes were last dropped.
 	prunedAt identifier.Instant
 	// departed holds the incarnations that have announced that they leave and are no
@@ -120,6 +124,10 @@
 	processes int
 	// candidates is the buffer for the targets that one choice evaluates.
 	candidates []candidate
+	// ringTargets is the buffer for the targets at which a popular prefix is cached.
+	ringTargets []*targetState
+	// popular counts the requests by prefix.
+	popular popularity
 }
 
 // New returns an admitter without targets.
@@ -149,7 +157,7 @@
 			a.restoreDeparted(t, s)
 		}
 		a.applyEntry(now, old, s, t)
-		s.Target = t
+		s.Target, s.pool = t, p
 		s.admission.SetListedLeaving(t.Leaving)
 		s.admission.SetEvacuated(a.evacuated[t.DataCentre])
 		next[t.ID] = s
@@ -157,7 +165,7 @@
 	}
 	for id, p := range pools {
 		if old := a.pools[id]; old != nil {
-			p.ring, p.pace = old.ring, old.pace
+			p.ring, p.pace, p.unreported = old.ring, old.pace, old.unreported
 		}
 		p.updateRing()
 	}
@@ -190,7 +198,8 @@
 	if p == nil {
 		return Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
 	}
-	p.summarise(now)
+	p.unreported.dropBefore(now.Add(-peerLoadTTL))
+	p.summarise(now, a.processes)
 	limited := false
 	for {
 		c := a.chooseFromPool(now, p, req)
@@ -287,7 +296,9 @@
 	attempt.permitUntil = t.warmUp.TakePermit(now)
 	t.lastAttempt = now
 	if req.Model != "" {
-		t.prefixes.touch(now, prefixKeys(req.Model, req.Segments))
+		keys := prefixKeys(req.Model, req.Segments)
+		t.prefixes.touch(now, keys)
+		a.recordSending(now, t, keys, c.PrefillTokens)
 	}
 	return attempt
 }
@@ -382,6 +393,7 @@
 	}
 	for _, p := range a.pools {
 		p.summarisedAt = 0
+		p.unreported.dropBefore(now.Add(-a.peerLoadDelay))
 	}
 }
 
--- a/admitter/engine.go
+++ b/admitter/engine.go
@@ -21,8 +21,8 @@
 	// which a pool counts as having spare capacity.
 	spareQueuePercent = 10
 	// maxPreferredTargets is how many targets requests with the same prefix are sent to
-	// at first. maxRingCandidates is how many targets of the ring are evaluated before
-	// those with the shortest queues.
+	// at first, unless the prefix is popular (see copies). maxRingCandidates is how many
+	// targets of the ring are evaluated before those with the shortest queues.
 	maxPreferredTargets = 3
 	maxRingCandidates   = 8
 	// maxRingVisits limits the points of the ring that are visited to find them.
@@ -55,7 +55,9 @@
 // have to be recomputed. Other targets than the preferred ones are considered only if
 // none of these has room and the workspace is within its share. A workspace beyond its
 // share has shared prefixes recomputed only while the pool has spare capacity. A candidate
-// that warms up, for which this router has a permit, precedes all others.
+// that warms up, for which this router has a permit, precedes all others. If the
+// load is evened out, popular prefixes are cached at more targets (see copies), and requests
+// that fit at no preferred target go to a random one.
 func (a *Admitter) chooseEngine(now identifier.Instant, p *pool, req Request) Choice {
 	keys := prefixKeys(req.Model, req.Segments)
 	candidates := a.ringCandidates(now, p, req, keys)
@@ -65,11 +67,14 @@
 	if cold := firstWarmingUp(now, candidates, req); cold != nil {
 		return Choice{Target: cold.target.ID, Wait: cold.wait, PrefillTokens: cold.prefillTokens}
 	}
+	if n := a.copies(now, p, req, keys); n > maxPreferredTargets {
+		candidates = a.spreadCandidates(now, p, req, keys, n)
+	}
 	preferred := min(len(candidates), maxPreferredTargets)
 	spareCapacity := req.WithinShare || p.meanQueueDelay <= spareQueuePercent*req.MaxWait/100
 	best := p.cheapest(candidates[:preferred], req, spareCapacity)
 	if best == nil && req.WithinShare {
-		best = p.cheapest(a.addShortestQueues(now, p, req, keys)[preferred:], req, spareCapacity)
+		best = p.cheapest(a.addOverflow(now, p, req, keys)[preferred:], req, spareCapacity)
 	}
 	if best == nil {
 		return Choice{Refused: TargetsBusy, Wait: a.shortestWait(p)}
@@ -85,9 +90,7 @@
 	visits := 0
 	p.ring.walk(ringKey(keys, req.Seed), func(t *targetState) bool {
 		visits++
-		if !a.isCandidate(t) && eligible(now, t, &req) && p.healthy(now, t) {
-			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
-		}
+		a.addCandidate(now, p, t, req, keys)
 		return len(a.candidates) < maxRingCandidates && visits < maxRingVisits
 	})
 	if len(a.candidates) == 0 {
@@ -117,17 +120,26 @@
 	return false
 }
 
-// addShortestQueues adds the healthy targets of the pool with the shortest queues to the
-// candidates, and returns all candidates.
-func (a *Admitter) addShortestQueues(now identifier.Instant, p *pool, req Request, keys []prefixKey) []candidate {
+// addOverflow adds the targets of the pool with the shortest queues to the candidates, or a
+// random one if the load is evened out, and returns all of them.
+func (a *Admitter) addOverflow(now identifier.Instant, p *pool, req Request, keys []prefixKey) []candidate {
+	if a.evenLoad && a.addRandom(now, p, req, keys) {
+		return a.candidates
+	}
 	for _, t := range p.shortestQueues {
-		if !a.isCandidate(t) && eligible(now, t, &req) && p.healthy(now, t) {
-			a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
-		}
+		a.addCandidate(now, p, t, req, keys)
 	}
 	return a.candidates
 }
 
+// addCandidate adds target t to the candidates if it accepts work, is healthy and is not
+// among them.
+func (a *Admitter) addCandidate(now identifier.Instant, p *pool, t *targetState, req Request, keys []prefixKey) {
+	if !a.isCandidate(t) && eligible(now, t, &req) && p.healthy(now, t) {
+		a.candidates = append(a.candidates, a.evaluate(now, t, req, keys, len(a.candidates)))
+	}
+}
+
 // shortestWait returns the shortest known time to the first token of the request. For the
 // pool it adds the prefill time at the first candidate to the shortest wait: that
 // candidate is the preferred target, where only the unshared tokens of the request are
@@ -159,11 +171,13 @@
 }
 
 // evaluate estimates the wait and the cost of the request at target t, which becomes the
-// candidate at index rank. The cost is the queueing delay, increased in proportion to the
-// prefill of the request (see typicalPrefill), plus the weighted time for recomputing
-// shared prefixes.
+// candidate at index rank. If the load is evened out, the load of the target includes what
+// peers have probably sent since their reports.
 func (a *Admitter) evaluate(now identifier.Instant, t *targetState, req Request, keys []prefixKey, rank int) candidate {
 	c := candidate{target: t, load: t.totalLoad()}
+	if a.evenLoad {
+		c.load.PrefillTokens += t.pool.unreported.at(t)
+	}
 	unshared := unsharedTokens(req)
 	c.prefillTokens = t.prefixes.uncachedTokens(now, req.Segments, keys, req.PromptTokens)
 	if rank == 0 {
@@ -175,11 +189,21 @@
 	c.queueDelay = t.prefillTime(c.load.PrefillTokens)
 	c.prefillTime = t.prefillTime(c.prefillTokens)
 	c.wait = t.latency.base + c.queueDelay + c.prefillTime
-	c.cost = c.queueDelay + time.Duration(float64(c.queueDelay)*float64(c.prefillTokens)/typicalPrefill) + recomputeWeight*t.prefillTime(c.recomputeTokens)
-	c.cost += ownPrefillCost(c)
+	c.cost = a.cost(c, req)
 	return c
 }
 
+// cost returns the cost of a candidate: the queueing delay, increased in proportion to the
+// prefill of the request (see typicalPrefill), plus the weighted time for recomputing shared
+// prefixes. ownPrefillCost is added where targets differ in speed.
+func (a *Admitter) cost(c candidate, req Request) time.Duration {
+	if a.evenLoad {
+		return evenLoadCost(c, req)
+	}
+	return c.queueDelay + time.Duration(float64(c.queueDelay)*float64(c.prefillTokens)/typicalPrefill) +
+		recomputeWeight*c.target.prefillTime(c.recomputeTokens) + ownPrefillCost(c)
+}
+
 // unsharedTokens returns the number of prompt tokens that no other request shares, at
 // least 1.
 func unsharedTokens(req Request) int {
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -29,6 +29,10 @@
 	minWait        time.Duration
 	// fastest is the target with the lowest slowdown, nil if no target accepts work.
 	fastest *targetState
+	// maxQueueDelay is the longest queueing delay.
+	maxQueueDelay time.Duration
+	// unreported estimates the load that peers have added since their reports.
+	unreported unreportedLoad
 	// shortestQueues holds the targets with a free slot and the shortest queueing delay,
 	// in ascending order, at most maxShortestQueues.
 	shortestQueues []*targetState
@@ -49,8 +53,8 @@
 const maxShortestQueues = 8
 
 // summarise computes the summary if it is out of date, so that a choice does not visit
-// every target.
-func (p *pool) summarise(now identifier.Instant) {
+// every target. processes is the number of routers, including this one.
+func (p *pool) summarise(now identifier.Instant, processes int) {
 	if p.summarisedAt != 0 && now >= p.summarisedAt && now.Sub(p.summarisedAt) < summaryTTL {
 		return
 	}
@@ -58,11 +62,12 @@
 	p.pace.advance(now)
 	p.compareSpeeds()
 	p.fastest, p.open = nil, p.open[:0]
-	p.minFailureRate, p.minWait = 1, -1
+	p.minFailureRate, p.minWait, p.maxQueueDelay = 1, -1, 0
 	p.shortestQueues = p.shortestQueues[:0]
 	var sum time.Duration
-	n := 0
+	n, ownRunning, peerRunning := 0, 0, 0
 	for _, t := range p.targets {
+		ownRunning, peerRunning = ownRunning+t.ownLoad.Running, peerRunning+t.peerLoad.Running
 		d := t.admissionDecision(now)
 		if len(p.targets) > maxScanned && len(p.open) < maxScanned && (d.Open() || d.Until != 0 && d.Until.Sub(now) < summaryTTL) {
 			p.open = append(p.open, t)
@@ -77,12 +82,14 @@
 		}
 		t.queueDelay = t.prefillTime(t.totalLoad().PrefillTokens)
 		sum += t.queueDelay
+		p.maxQueueDelay = max(p.maxQueueDelay, t.queueDelay)
 		if wait := t.latency.base + t.queueDelay; p.minWait < 0 || wait < p.minWait {
 			p.minWait = wait
 		}
 		p.insertShortestQueue(t)
 	}
 	p.meanQueueDelay = sum / time.Duration(max(1, n))
+	p.unreported.update(ownRunning, peerRunning, processes, n)
 }
 
 // insertShortestQueue inserts target t into shortestQueues, in order, if it has a free
--- a/cmd/buckthorndrum/platform.go
+++ b/cmd/buckthorndrum/platform.go
@@ -16,8 +16,10 @@
 // platform.
 func newPlatformCommand(errOut io.Writer) *ffcli.Command {
 	var path, level string
+	var evenLoad bool
 	register := func(fs *flag.FlagSet) {
 		fs.StringVar(&path, "boot", os.Getenv(platform.SettingsVariable), "the platform's settings file, by default as "+platform.SettingsVariable+" says")
+		fs.BoolVar(&evenLoad, "even-load", false, "even out the load of engines although reports of their load are out of date")
 		fs.StringVar(&level, "log-level", "info", "debug, info, warn or error")
 	}
 	return processCommand("platform", "run a router on the users' platform", errOut, register, func(ctx context.Context) error {
@@ -30,7 +32,7 @@
 		if err != nil {
 			return settingsError{err}
 		}
-		err = platform.Run(ctx, platform.Config{Settings: settings, Path: path, Log: log, Dropped: lines.Dropped})
+		err = platform.Run(ctx, platform.Config{Settings: settings, Path: path, EvenOutLoad: evenLoad, Log: log, Dropped: lines.Dropped})
 		close(stop)
 		<-lines.Done()
 		return err
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,6 +28,9 @@
 	Identify func(http.Header) string
 	// MaxCallers bounds the number of connections from callers, zero for no bound.
 	MaxCallers int
+	// EvenOutLoad evens out the load of engines although the reports of other routers are
+	// out of date (see docs/design/balancing.md).
+	EvenOutLoad bool
 	// MaxTargetConns bounds the number of connections to targets, zero for no bound.
 	MaxTargetConns int
 	// Heads bounds the memory of request heads, and is shared with the process's other
@@ -159,6 +162,9 @@
 	f.listener = l
 	f.memory.limit = cfg.MaxBufferedBytes
 	f.rejections.counts = map[acceptor.Rejection]int64{}
+	if cfg.EvenOutLoad {
+		f.state.admitter.EvenOutLoad()
+	}
 	f.metrics = newMetrics(f)
 	f.updatePacing(f.startedAt)
 	f.server = &http.Server{
