acceptor: idle connections make room for new ones at the bound

Cause: 64 callers that send one request each and stay idle would keep a readiness probe out for 10 s. Change: if no connection waits for its first head, the longest idle one is closed, unless a request is arriving on it.

--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -28,10 +28,8 @@
 	// The fields up to the next blank line are used by the goroutine that reads, and
 	// between requests by the one that serves.
 	phase connPhase
-	// hadHead is set once the connection has had a complete head.
-	hadHead bool
-	head    headScanner
-	body    bodyScanner
+	head  headScanner
+	body  bodyScanner
 	// emptyBytes counts the bytes of empty lines before the request.
 	emptyBytes int
 	// buf holds what was received and is not part of the request being read or served, or
@@ -64,10 +62,11 @@
 	partialBytes int64
 	// partialEvicted is set when the budget has closed the connection.
 	partialEvicted bool
-	// waitingEntry is the connection's entry in its listener, and counted is set while the
-	// listener counts it. The listener's lock guards them.
-	waitingEntry *list.Element
-	counted      bool
+	// waitingEntry is the connection's entry in its listener, and kept is set if it has had
+	// a request. counted is set while the listener counts it. The listener's lock guards
+	// them.
+	waitingEntry  *list.Element
+	kept, counted bool
 }
 
 // connPhase is what a connection reads next.
@@ -265,10 +264,9 @@
 // accept reserves the cost of the request whose complete head has the given size, and takes
 // the connection from those that may be closed. If that fails, it answers the request.
 func (c *Conn) accept(size int) error {
-	if !c.hadHead && !c.listener.endWaiting(c) {
+	if !c.listener.endWaiting(c) {
 		return net.ErrClosed
 	}
-	c.hadHead = true
 	cost := headCost(size, c.head.lines)
 	if !c.budget().accept(cost) {
 		return c.reject(NoHeadMemory)
@@ -456,6 +454,7 @@
 			c.phase = failed
 		}
 		c.setBuffer(c.buf)
+		c.listener.beginWaiting(c)
 	case http.StateHijacked:
 		c.release()
 		c.phase = unframed
--- a/acceptor/conn_test.go
+++ b/acceptor/conn_test.go
@@ -230,6 +230,34 @@
 	}
 }
 
+// Idle connections make room for new ones beyond the bound, as they would keep others from
+// the port, but not one on which a request is arriving.
+func TestKeptConnectionsMakeRoom(t *testing.T) {
+	g := NewWithT(t)
+	budget := NewHeadBudget(0)
+	p := serve(t, Config{Budget: budget, MaxConns: 2}, describe)
+	idle := func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.idle.Len()
+	}
+	arriving := p.dial("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(responses(t, arriving, 1)).To(HaveLen(1))
+	g.Eventually(idle, "2s").Should(Equal(1))
+	kept := p.dial("GET /b HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(responses(t, kept, 1)).To(HaveLen(1))
+	g.Eventually(idle, "2s").Should(Equal(2))
+	_, _ = io.WriteString(arriving, "GET /a HT")
+	time.Sleep(20 * time.Millisecond)
+	fresh := p.dial("GET /c HTTP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(responses(t, fresh, 1)).To(HaveLen(1))
+	_, err := kept.Read(make([]byte, 1))
+	g.Expect(err).To(HaveOccurred())
+	_, _ = io.WriteString(arriving, "TP/1.1\r\nHost: h\r\n\r\n")
+	g.Expect(responses(t, arriving, 1)).To(HaveLen(1))
+	g.Expect(budget.Rejected(TooManyConnections)).To(BeEquivalentTo(1))
+}
+
 // Beyond the bound on connections, the one that has waited longest for its first complete
 // head is closed, and the new one if there is none.
 func TestConnectionsAreBounded(t *testing.T) {
--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -34,9 +34,10 @@
 	mu sync.Mutex
 	// open counts the open connections.
 	open int
-	// waiting holds the connections without a complete head so far, of type *Conn, in the
-	// order in which they were accepted.
-	waiting list.List
+	// waiting holds the connections that have had no request, and idle those that wait for
+	// another one, of type *Conn, in the order in which they began to wait. Both are empty
+	// without a bound on connections.
+	waiting, idle list.List
 }
 
 // Config configures a Listener. All fields but Network and Address may be zero.
@@ -50,7 +51,8 @@
 	// Budget is shared by the listeners of a process. Nil is a budget without a bound.
 	Budget *HeadBudget
 	// MaxConns bounds the open connections, zero for no bound. Beyond it, the connection
-	// that has waited longest for its first complete head is closed, or else the new one.
+	// that has waited longest for its first complete head is closed, or else the longest
+	// idle one, or else the new one.
 	MaxConns int
 	// HTTP2 is set if the server accepts HTTP/2 without TLS. Such a connection is passed
 	// through after its preface.
@@ -174,36 +176,85 @@
 	}
 }
 
-// add counts a new connection. Beyond the bound it closes the one that has waited longest
-// for its first complete head, or reports false if there is none.
+// add counts a new connection. Beyond the bound it closes one that waits, or reports false
+// if there is none that may be closed.
 func (p *Listener) add(c *Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.maxConns > 0 && p.open >= p.maxConns {
 		p.budget.count(TooManyConnections)
-		oldest := p.waiting.Front()
-		if oldest == nil {
+		victim := p.longestWaiting()
+		if victim == nil {
 			return false
 		}
-		victim := oldest.Value.(*Conn)
 		p.forget(victim)
 		victim.closeNow()
 	}
 	p.open++
-	c.counted, c.waitingEntry = true, p.waiting.PushBack(c)
+	c.counted = true
+	p.wait(c)
 	return true
 }
 
+// maxVictimsTried bounds how many idle connections are looked at for one that may be closed.
+const maxVictimsTried = 16
+
+// longestWaiting returns the connection that has waited longest for its first complete
+// head, or else the longest idle one, nil if there is none. It spares idle connections on
+// which a request is arriving, and looks at maxVictimsTried. The caller must hold mu.
+func (p *Listener) longestWaiting() *Conn {
+	if e := p.waiting.Front(); e != nil {
+		return e.Value.(*Conn)
+	}
+	e := p.idle.Front()
+	for range min(maxVictimsTried, p.idle.Len()) {
+		if c := e.Value.(*Conn); peekInput(c) == noInput {
+			return c
+		}
+		e = e.Next()
+	}
+	return nil
+}
+
+// wait adds a connection to those that wait for a complete head. The caller must hold mu.
+func (p *Listener) wait(c *Conn) {
+	if p.maxConns > 0 && c.counted && c.waitingEntry == nil {
+		c.waitingEntry = p.listOf(c).PushBack(c)
+	}
+}
+
+// listOf returns the list of connections to which c belongs while it waits. The caller must
+// hold mu.
+func (p *Listener) listOf(c *Conn) *list.List {
+	if c.kept {
+		return &p.idle
+	}
+	return &p.waiting
+}
+
+// beginWaiting records that a connection waits for its next request.
+func (p *Listener) beginWaiting(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.wait(c)
+}
+
 // endWaiting records that a connection has a complete head. It reports false if the
 // connection was closed before that.
 func (p *Listener) endWaiting(c *Conn) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.stopWaiting(c)
+	c.kept = true
+	return c.counted
+}
+
+// stopWaiting removes a connection from those that wait. The caller must hold mu.
+func (p *Listener) stopWaiting(c *Conn) {
 	if c.waitingEntry != nil {
-		p.waiting.Remove(c.waitingEntry)
+		p.listOf(c).Remove(c.waitingEntry)
 		c.waitingEntry = nil
 	}
-	return c.counted
 }
 
 // remove records that a connection is closed.
@@ -215,10 +266,7 @@
 
 // forget stops counting a connection. The caller must hold mu.
 func (p *Listener) forget(c *Conn) {
-	if c.waitingEntry != nil {
-		p.waiting.Remove(c.waitingEntry)
-		c.waitingEntry = nil
-	}
+	p.stopWaiting(c)
 	if c.counted {
 		c.counted = false
 		p.open--
