--- a/forwarder/slowreaders_test.go
+++ b/forwarder/slowreaders_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -58,8 +59,9 @@
 	id string
 }
 
-// newSlowCaller sends a request on a connection of its own.
-func (f *fleet) newSlowCaller(g Gomega, n int, path, body string) slowCaller {
+// newSlowCaller sends a request on a connection of its own. All callers share their body, so
+// that a blocked write takes up no memory of the test.
+func (f *fleet) newSlowCaller(g Gomega, n int, path string, body []byte) slowCaller {
 	d := net.Dialer{Control: limitReceiveBuffer}
 	c, err := d.Dial("tcp4", f.address)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -68,7 +70,7 @@
 	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: desk\r\nId: %s\r\nKey: k\r\nPatience: %d\r\nContent-Length: %d\r\n\r\n",
 		path, k.id, slowTimeLimit.Milliseconds(), len(body))
 	g.Expect(err).NotTo(HaveOccurred())
-	go func() { _, _ = io.WriteString(c, body) }()
+	go func() { _, _ = c.Write(body) }()
 	return k
 }
 
@@ -194,7 +196,7 @@
 	f = newSlowFleet(t, u.answer)
 	heapBefore = heapInUse()
 	for n := range u.callers {
-		slow = append(slow, f.newSlowCaller(NewWithT(t), n, u.path, ""))
+		slow = append(slow, f.newSlowCaller(NewWithT(t), n, u.path, nil))
 	}
 	eventually(t, "requests arrive", func() bool { return len(f.requestsSeen()) >= u.callers })
 	return f, heapBefore, slow
@@ -240,7 +242,7 @@
 			f, heap, _ := startUnread(t, u)
 			f.checkMemory(g, heap)
 			for n := u.callers; n < maxSlowCallers && f.ordinaryStatus() == http.StatusOK; n++ {
-				f.newSlowCaller(g, n, u.path, "")
+				f.newSlowCaller(g, n, u.path, nil)
 				time.Sleep(20 * time.Millisecond)
 			}
 			f.checkOthersServed(g)
@@ -306,7 +308,7 @@
 			g := NewWithT(t)
 			f := newSlowFleet(t, completeAnswer)
 			f.addUnreadingTarget(g)
-			body := strings.Repeat("x", slowBody)
+			body := bytes.Repeat([]byte("x"), slowBody)
 			heap := heapInUse()
 			var slow []slowCaller
 			for n := range c.callers {
