--- a/acceptor/conn.go
+++ b/acceptor/conn.go
@@ -458,6 +458,10 @@
 	case http.StateHijacked:
 		c.release()
 		c.phase = unframed
+	case http.StateClosed:
+		// The reader may have reserved more after another goroutine closed the connection.
+		c.budget().endPartial(c)
+		c.release()
 	}
 }
 
--- a/acceptor/listener.go
+++ b/acceptor/listener.go
@@ -65,8 +65,7 @@
 type HeadLimits struct {
 	// MaxBytes is the largest size of a head, in bytes.
 	MaxBytes int
-	// Timeout is the longest time in which a head must be complete: from the opening of
-	// the connection for its first one, and from its first byte for others.
+	// Timeout is the longest time from the first byte of a head until it is complete.
 	Timeout time.Duration
 }
 
@@ -92,7 +91,7 @@
 	return &l
 }
 
-// SetHeadLimits replaces the limits of heads. They apply to heads that begin later.
+// SetHeadLimits replaces the limits of heads. The timeout applies to heads that begin later.
 func (p *Listener) SetHeadLimits(l HeadLimits) { p.limits.Store(l.withDefaults()) }
 
 // headLimits returns the limits of heads in force.
@@ -216,9 +215,10 @@
 	return nil
 }
 
-// wait adds a connection to those that wait for a complete head. The caller must hold mu.
+// wait adds a connection to those that wait for a complete head. The requests of a TLS
+// connection are not seen, so that it is never closed to make room. The caller must hold mu.
 func (p *Listener) wait(c *Conn) {
-	if p.maxConns > 0 && c.counted && c.waitingEntry == nil {
+	if p.maxConns > 0 && c.counted && c.waitingEntry == nil && p.initialPhase != unframed {
 		c.waitingEntry = p.listOf(c).PushBack(c)
 	}
 }
--- a/acceptor/rejection.go
+++ b/acceptor/rejection.go
@@ -12,12 +12,13 @@
 // connection.
 type Rejection int
 
-// The reasons. Connections are closed without a response for the last two.
+// The reasons.
 const (
 	HeadTooLarge Rejection = iota
 	HeadMalformed
 	HeadTooLate
 	NoHeadMemory
+	// PartialHeadsTooLarge and TooManyConnections close connections without a response.
 	PartialHeadsTooLarge
 	TooManyConnections
 )
--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -114,10 +114,10 @@
 	departed map[incarnation]identifier.Instant
 	// evacuated holds the evacuated data centres.
 	evacuated map[identifier.DataCentre]bool
-	// coldRates holds what the cold targets of pools stand, and pacing how often this router
-	// may send to them.
-	coldRates map[identifier.Pool]permitter.ColdRate
-	pacing    Pacing
+	// coldRates holds the load that the cold targets of pools can handle, and warmUpPolicy
+	// how often this router may send to them.
+	coldRates    map[identifier.Pool]permitter.ColdRate
+	warmUpPolicy WarmUpPolicy
 	// seed makes the phases of permits differ from those of other routers.
 	seed uint64
 	// processes is the number of routers, including this one.
@@ -152,7 +152,7 @@
 		}
 		old := a.targets[t.ID]
 		s := old
-		if s == nil || s.incarnation() != t.incarnation() {
+		if s == nil || s.incarnation() != t.incarnation() || s.Pool != t.Pool {
 			s = &targetState{prefixes: prefixCache{}, latency: initialLatency[t.Pool]}
 			a.restoreDeparted(t, s)
 		}
@@ -228,15 +228,6 @@
 	return a.chooseEngine(now, p, req)
 }
 
-func contains(list []identifier.Target, t identifier.Target) bool {
-	for _, v := range list {
-		if v == t {
-			return true
-		}
-	}
-	return false
-}
-
 // remotePenalty is how many more requests a target in the local data centre may run than
 // one in another data centre before the other one is preferred.
 const remotePenalty = 1
@@ -272,6 +263,8 @@
 	// target is the state of the incarnation that the request was sent to, nil if that
 	// was no longer listed.
 	target *targetState
+	// listed is the target as it was listed when the request was sent.
+	listed Target
 	load   Load
 	// prefillTokens is the number of tokens that the target had to prefill for the answer
 	// to begin, and startedAt is when the request was sent.
@@ -289,7 +282,7 @@
 	if t == nil {
 		return &Attempt{startedAt: now}
 	}
-	attempt := &Attempt{target: t, startedAt: now, load: Load{Running: 1, PrefillTokens: c.PrefillTokens, MemoryTokens: req.PromptTokens + req.MaxOutputTokens}}
+	attempt := &Attempt{target: t, listed: t.Target, startedAt: now, load: Load{Running: 1, PrefillTokens: c.PrefillTokens, MemoryTokens: req.PromptTokens + req.MaxOutputTokens}}
 	attempt.prefillTokens = t.totalLoad().PrefillTokens + c.PrefillTokens
 	t.ownLoad = t.ownLoad.add(attempt.load)
 	t.limit.RecordSent(now)
@@ -309,7 +302,7 @@
 	if a.target == nil {
 		return Target{}, false
 	}
-	return a.target.Target, true
+	return a.listed, true
 }
 
 // RecordAnswerStart records that the first part of the answer has arrived, and updates the
--- a/admitter/notice.go
+++ b/admitter/notice.go
@@ -67,11 +67,11 @@
 	return counts
 }
 
-// PoolRefusal returns the refusal of requests that no target of a pool in an allowed region
-// can take: TargetsDisallowed if there is none,
-// TargetsPausing or TargetsWarmingUp if no target accepts work and it is known when the first
-// one will, else TargetsEvacuated if one of them is evacuated, else NoTarget. A target whose connections failed makes it NoTarget. For a pool without
-// targets it returns the zero Choice.
+// PoolRefusal returns the refusal of requests that no target of a pool can take. It is, in
+// this order: TargetsDisallowed if no target is in an allowed region; NoTarget if a target
+// accepts work or its connections failed; TargetsPausing or TargetsWarmingUp if it is known
+// when the first target accepts work again; TargetsEvacuated if a target is evacuated; else
+// NoTarget. For an unknown pool it returns the zero Choice.
 func (a *Admitter) PoolRefusal(now identifier.Instant, id identifier.Pool, allowed permitter.RegionSet) Choice {
 	if p := a.pools[id]; p != nil {
 		return p.refusal(now, allowed)
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -1,6 +1,7 @@
 package admitter
 
 import (
+	"slices"
 	"time"
 
 	"buckthorndrum/identifier"
@@ -115,7 +116,7 @@
 // eligible reports whether target t accepts work, is allowed for the request, and is not
 // excluded.
 func eligible(now identifier.Instant, t *targetState, req *Request) bool {
-	return req.AllowedRegions.Allows(t.Region) && t.acceptsWork(now) && !contains(req.Exclude, t.ID)
+	return req.AllowedRegions.Allows(t.Region) && t.acceptsWork(now) && !slices.Contains(req.Exclude, t.ID)
 }
 
 // healthy reports whether target t is as good as the others. No peer may have reported
--- a/admitter/popular.go
+++ b/admitter/popular.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"buckthorndrum/identifier"
@@ -89,7 +90,7 @@
 	visits := 0
 	p.ring.walk(ringKey(keys, req.Seed), func(t *targetState) bool {
 		visits++
-		if !containsState(list, t) && eligible(now, t, &req) && p.healthy(now, t) {
+		if !slices.Contains(list, t) && eligible(now, t, &req) && p.healthy(now, t) {
 			list = append(list, t)
 		}
 		return len(list) < n && visits < maxRingVisits
@@ -107,14 +108,5 @@
 	return a.candidates
 }
 
-func containsState(list []*targetState, t *targetState) bool {
-	for _, u := range list {
-		if u == t {
-			return true
-		}
-	}
-	return false
-}
-
 // draw returns the random number with index i of a request with a seed.
 func draw(seed, i uint64) uint64 { return mix(mix(seed) + i) }
--- a/admitter/warmup.go
+++ b/admitter/warmup.go
@@ -9,8 +9,8 @@
 	"buckthorndrum/permitter"
 )
 
-// Pacing determines how often this router may send a request to a cold target.
-type Pacing struct {
+// WarmUpPolicy determines how often this router may send a request to a cold target.
+type WarmUpPolicy struct {
 	// Routers is the number of routers that may send requests, including this one.
 	Routers int
 	// Bound bounds the requests of all routers together.
@@ -22,37 +22,37 @@
 // SetSeed sets the number by which the permits of this router differ from those of others.
 func (a *Admitter) SetSeed(seed uint64) { a.seed = seed }
 
-// SetColdRates replaces what the cold targets of pools stand. The targets of other pools are
+// SetColdRates replaces the load that the cold targets of pools can handle. The targets of other pools are
 // never cold.
 func (a *Admitter) SetColdRates(now identifier.Instant, rates map[identifier.Pool]permitter.ColdRate) {
 	a.coldRates = rates
-	a.updatePaces(now)
+	a.updateSchedules(now)
 }
 
-// SetPacing replaces the pacing. It has no effect if nothing has changed.
-func (a *Admitter) SetPacing(now identifier.Instant, p Pacing) {
-	if p == a.pacing {
+// SetWarmUpPolicy replaces the policy. It has no effect if nothing has changed.
+func (a *Admitter) SetWarmUpPolicy(now identifier.Instant, p WarmUpPolicy) {
+	if p == a.warmUpPolicy {
 		return
 	}
-	a.pacing = p
-	a.updatePaces(now)
+	a.warmUpPolicy = p
+	a.updateSchedules(now)
 }
 
-// Pacing returns the pacing that was set last.
-func (a *Admitter) Pacing() Pacing { return a.pacing }
+// WarmUpPolicy returns the policy that was set last.
+func (a *Admitter) WarmUpPolicy() WarmUpPolicy { return a.warmUpPolicy }
 
-// updatePaces passes the paces to all targets.
-func (a *Admitter) updatePaces(now identifier.Instant) {
+// updateSchedules passes the paces to all targets.
+func (a *Admitter) updateSchedules(now identifier.Instant) {
 	for _, t := range a.targets {
-		t.warmUp.SetPace(now, a.pace(t.Pool))
+		t.warmUp.SetSchedule(now, a.permitSchedule(t.Pool))
 		a.invalidateSummary(t)
 	}
 }
 
-// pace returns how often this router has a permit for a cold target of a pool.
-func (a *Admitter) pace(id identifier.Pool) permitter.PermitPace {
-	rate := a.pacing.Bound.PermitRate(a.coldRates[id].PerSecond)
-	return permitter.PermitPace{Interval: permitter.PermitInterval(rate, a.pacing.Routers), NotBefore: a.pacing.NotBefore}
+// permitSchedule returns how often this router has a permit for a cold target of a pool.
+func (a *Admitter) permitSchedule(id identifier.Pool) permitter.PermitSchedule {
+	rate := a.warmUpPolicy.Bound.PermitRate(a.coldRates[id].PerSecond)
+	return permitter.PermitSchedule{Interval: permitter.PermitInterval(rate, a.warmUpPolicy.Routers), NotBefore: a.warmUpPolicy.NotBefore}
 }
 
 // phase returns a number in [0, 1) that differs by router, target and time.
@@ -68,7 +68,7 @@
 	if old != nil && old != s {
 		s.warmUp, s.reportedCold = old.warmUp, old.reportedCold
 	}
-	s.warmUp.SetPace(now, a.pace(t.Pool))
+	s.warmUp.SetSchedule(now, a.permitSchedule(t.Pool))
 	if old != nil && old.Target == t {
 		return
 	}
--- a/admitter/warmup_test.go
+++ b/admitter/warmup_test.go
@@ -12,19 +12,19 @@
 	"buckthorndrum/permitter"
 )
 
-// testColdRates and testPacing are what deployments have today, for one router alone.
+// testColdRates and testPolicy are those of a typical deployment, for one router alone.
 var (
 	testColdRates = map[identifier.Pool]permitter.ColdRate{"p": {Duration: 30 * time.Second, PerSecond: 11}}
-	testPacing    = Pacing{Routers: 1, Bound: permitter.ColdBound{Overage: 1.5, Slack: 5}}
+	testPolicy    = WarmUpPolicy{Routers: 1, Bound: permitter.ColdBound{Overage: 1.5, Slack: 5}}
 )
 
 // newColdRouter returns a router whose targets can be cold.
 func newColdRouter(seed uint64, routers int, targets []Target) *Admitter {
 	a := New()
 	a.SetSeed(seed)
-	pacing := testPacing
-	pacing.Routers = routers
-	a.SetPacing(second, pacing)
+	policy := testPolicy
+	policy.Routers = routers
+	a.SetWarmUpPolicy(second, policy)
 	a.SetColdRates(second, testColdRates)
 	a.SetTargets(second, targets)
 	return a
@@ -97,7 +97,7 @@
 				}
 				begun := play(routers, rand.New(rand.NewPCG(seed, 3)), c.perSecond, c.model)
 				g.Expect(mostInSecond(begun)).To(BeNumerically("<=", 21), "seed %d", seed)
-				permits := 20 * testPacing.Bound.PermitRate(11)
+				permits := 20 * testPolicy.Bound.PermitRate(11)
 				g.Expect(float64(len(begun))).To(BeNumerically(">", c.used*permits), "seed %d", seed)
 			}
 		})
--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -127,6 +127,9 @@
 	if errors.Is(err, exchanger.ErrUnwanted) && !t.withheld {
 		return f.correctStatus(c, &errorAnswer{status: http.StatusServiceUnavailable, reason: "The caller has left, or the request would be sent too late.", retryAfter: minRetryAfter})
 	}
+	if errors.Is(err, exchanger.ErrTooManyConnections) {
+		return f.correctStatus(c, &errorAnswer{status: http.StatusServiceUnavailable, reason: "This router has too many connections to targets.", retryAfter: minRetryAfter})
+	}
 	if fault != nil && fault.MaybeSent {
 		f.noteBreak(t, err)
 	}
--- a/forwarder/callers_test.go
+++ b/forwarder/callers_test.go
@@ -119,7 +119,8 @@
 }
 
 // A caller that does not read its answer gives back the memory of the answer some time
-// after its deadline. It kept it for as long as its connection was open before.
+// after its deadline. Guards against memory that is held for as long as such a connection is
+// open.
 func TestAnswerToCallerThatDoesNotReadIsGivenUp(t *testing.T) {
 	g := NewWithT(t)
 	f := newFleet(t, fixedAnswer(http.StatusOK, "Seal: s\r\n", strings.Repeat("x", maxBufferedAnswer-1)))
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -166,7 +166,7 @@
 		f.state.admitter.EvenOutLoad()
 	}
 	f.metrics = newMetrics(f)
-	f.updatePacing(f.startedAt)
+	f.updateWarmUpPolicy(f.startedAt)
 	f.server = &http.Server{
 		Handler:           f,
 		ReadHeaderTimeout: headerTimeout,
@@ -217,7 +217,7 @@
 	f.logRejections(now)
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
-	f.updatePacing(now)
+	f.updateWarmUpPolicy(now)
 	f.logWarmUps(now)
 	f.state.admitter.Tick(now)
 	f.tickIsolator(now)
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -68,8 +68,10 @@
 func (f *Forwarder) recordMalformedPause(t *selectedTarget, applied time.Duration) {
 	f.metrics.notices.WithLabelValues(noticeMalformed).Inc()
 	f.state.mu.Lock()
-	first := !f.state.malformedPauses[t.choice.Target]
-	f.state.malformedPauses[t.choice.Target] = true
+	first := f.state.addresses[t.choice.Target] != "" && !f.state.malformedPauses[t.choice.Target]
+	if first {
+		f.state.malformedPauses[t.choice.Target] = true
+	}
 	f.state.mu.Unlock()
 	if first {
 		f.log.Warn("pause not understood", zap.String("target", string(t.choice.Target)), zap.Duration("taken_for", applied))
--- a/forwarder/snapshot.go
+++ b/forwarder/snapshot.go
@@ -102,7 +102,7 @@
 	// GapObjective is the shortest gap objective of the routes that the pool serves, zero
 	// if none has one.
 	GapObjective time.Duration
-	// Cold is what the targets stand while they are cold.
+	// Cold is the load that the targets can handle while they are cold.
 	Cold permitter.ColdRate
 }
 
--- a/forwarder/summary.go
+++ b/forwarder/summary.go
@@ -156,7 +156,7 @@
 	f.state.peers = routers
 	f.state.admitter.SetPeerLoads(now, others.Loads)
 	f.state.admitter.SetProcesses(f.processes(now))
-	f.updatePacing(now)
+	f.updateWarmUpPolicy(now)
 	f.state.admitter.SetPeerLimits(now, others.Limits, routers)
 	f.state.sharer.SetPeerRates(now, others.Rates)
 }
--- a/forwarder/warmup.go
+++ b/forwarder/warmup.go
@@ -15,8 +15,8 @@
 
 const (
 	// warmUpHold is how long after its start a router sends nothing to cold targets. It hears
-	// of the other routers within that time, as a rule. 290 of 300 routers that restart at
-	// once and assume defaultFleetSize would send 47 requests a second otherwise.
+	// of the other routers within that time, as a rule. Without it, a large fleet that
+	// restarts at once exceeds the bound, as each router assumes only defaultFleetSize.
 	warmUpHold = 2 * time.Second
 	// warmUpFleetMemory is how long a router that is no longer heard counts among those that
 	// send to cold targets. It bounds the partitions during which the sum of all stays within
@@ -24,24 +24,24 @@
 	warmUpFleetMemory = time.Minute
 )
 
-// updatePacing passes to the admitter how often this router may send to a cold target: as one
+// updateWarmUpPolicy passes to the admitter how often this router may send to a cold target: as one
 // of the routers that were heard within warmUpFleetMemory, and in the first fleetMemory after
 // its start as one of defaultFleetSize at least. The caller holds f.state.mu, or f is not
 // in use yet.
-func (f *Forwarder) updatePacing(now identifier.Instant) {
+func (f *Forwarder) updateWarmUpPolicy(now identifier.Instant) {
 	f.state.warmUpFleet.record(now, f.state.peers)
 	routers := f.state.warmUpFleet.most() + 1
 	if now.Sub(f.startedAt) <= fleetMemory {
 		routers = max(routers, defaultFleetSize)
 	}
-	f.state.admitter.SetPacing(now, admitter.Pacing{Routers: routers, Bound: f.state.tunables.Load().ColdBound, NotBefore: f.startedAt.Add(warmUpHold)})
+	f.state.admitter.SetWarmUpPolicy(now, admitter.WarmUpPolicy{Routers: routers, Bound: f.state.tunables.Load().ColdBound, NotBefore: f.startedAt.Add(warmUpHold)})
 }
 
 // noteResponse records that target t has responded, and for how long it says that it is cold.
 func (f *Forwarder) noteResponse(t *selectedTarget, cold permitter.ColdNotice) {
 	f.state.mu.Lock()
 	f.state.admitter.RecordResponse(clocker.Coarse(), t.sent, cold.Duration)
-	first := cold.Malformed && !f.state.malformedColds[t.choice.Target]
+	first := cold.Malformed && f.state.addresses[t.choice.Target] != "" && !f.state.malformedColds[t.choice.Target]
 	if first {
 		f.state.malformedColds[t.choice.Target] = true
 	}
--- a/forwarder/warmup_test.go
+++ b/forwarder/warmup_test.go
@@ -31,7 +31,7 @@
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
 	f.startedAt -= identifier.Instant(time.Hour)
-	f.updatePacing(clocker.Now())
+	f.updateWarmUpPolicy(clocker.Now())
 	return f, logs
 }
 
@@ -134,8 +134,8 @@
 		f.state.mu.Lock()
 		defer f.state.mu.Unlock()
 		f.state.peers = peers
-		f.updatePacing(f.startedAt.Add(uptime))
-		return f.state.admitter.Pacing().Routers
+		f.updateWarmUpPolicy(f.startedAt.Add(uptime))
+		return f.state.admitter.WarmUpPolicy().Routers
 	}
 	g.Expect(pacing(0, 0)).To(Equal(defaultFleetSize))
 	g.Expect(pacing(time.Second, 2)).To(Equal(defaultFleetSize))
@@ -144,7 +144,7 @@
 	g.Expect(pacing(50*time.Second, 0)).To(Equal(300), "a router that is cut off")
 	g.Expect(pacing(70*time.Second, 2)).To(Equal(300), "heard within the last two minutes")
 	g.Expect(pacing(140*time.Second, 2)).To(Equal(3))
-	g.Expect(f.state.admitter.Pacing().NotBefore).To(Equal(f.startedAt.Add(warmUpHold)))
+	g.Expect(f.state.admitter.WarmUpPolicy().NotBefore).To(Equal(f.startedAt.Add(warmUpHold)))
 }
 
 // Guards against a request that is written after its permit has expired, while its connection
--- a/inspector/config.go
+++ b/inspector/config.go
@@ -58,14 +58,14 @@
 }
 
 type engine struct {
-	Slots      int `json:"slots"`
-	KVCapacity int `json:"kv_capacity"`
-	Stride     int `json:"stride"`
+	Slots      int     `json:"slots"`
+	KVCapacity int     `json:"kv_capacity"`
+	Stride     float64 `json:"stride"`
 }
 
 type limits struct {
 	MaxBodyBytes    int64   `json:"max_body_bytes"`
-	MaxHeaderBytes  int64   `json:"max_header_bytes"`
+	MaxHeaderBytes  float64 `json:"max_header_bytes"`
 	HeaderTimeoutMS float64 `json:"header_timeout_ms"`
 	IdleTimeoutMS   float64 `json:"idle_timeout_ms"`
 	TokensPerS      float64 `json:"tokens_per_s"`
--- a/inspector/finding.go
+++ b/inspector/finding.go
@@ -25,6 +25,9 @@
 	WrongType Kind = "wrong-type"
 	// ValueIgnored means that routers use another value in place of a malformed one.
 	ValueIgnored Kind = "value-ignored"
+	// RegionsUnreadable means that a restriction of regions names none that can be read, so
+	// that it allows no target.
+	RegionsUnreadable Kind = "regions-unreadable"
 	// FieldRepeated means that an object has a field twice.
 	FieldRepeated Kind = "field-repeated"
 	// NameRepeated means that two entries of one list have the same name.
--- a/inspector/ignored.go
+++ b/inspector/ignored.go
@@ -19,6 +19,8 @@
 		written, used := s.places.text(v), s.decoded.text(s.decoded.list[i])
 		switch kind := kindOf(written); {
 		case kind == kindNull:
+		case strings.HasSuffix(folded, ".allowed_regions") && used == "[]" && written != "[]":
+			s.add(Error, RegionsUnreadable, v.path, "no region can be read, so that requests are sent to no target")
 		case kind != kindOf(used):
 			s.add(Warning, ValueIgnored, v.path, "routers ignore the value, which is of type %s, not %s", kind, kindOf(used))
 		case kind == kindNumber && !sameNumber(written, used):
--- a/inspector/limits.go
+++ b/inspector/limits.go
@@ -6,9 +6,9 @@
 	for i, v := range s.config.Services {
 		path := element("services", i)
 		if v.Engine != nil {
-			s.checkSize(path+".engine.slots", int64(v.Engine.Slots))
-			s.checkSize(path+".engine.kv_capacity", int64(v.Engine.KVCapacity))
-			s.checkSize(path+".engine.stride", int64(v.Engine.Stride))
+			s.checkSize(path+".engine.slots", float64(v.Engine.Slots))
+			s.checkSize(path+".engine.kv_capacity", float64(v.Engine.KVCapacity))
+			s.checkSize(path+".engine.stride", v.Engine.Stride)
 		}
 		s.checkNotNegative(path+".cold_s", v.ColdS)
 		s.checkNotNegative(path+".cold_per_s", v.ColdPerS)
@@ -27,7 +27,7 @@
 		s.add(Error, NotPositive, "version", "the configuration has no version above zero, so that routers do not replace another one by it")
 	}
 	l := s.config.Limits
-	s.checkSize("limits.max_body_bytes", l.MaxBodyBytes)
+	s.checkSize("limits.max_body_bytes", float64(l.MaxBodyBytes))
 	s.checkSize("limits.max_header_bytes", l.MaxHeaderBytes)
 	s.checkNotNegative("limits.idle_timeout_ms", l.IdleTimeoutMS)
 	s.checkNotNegative("limits.header_timeout_ms", l.HeaderTimeoutMS)
@@ -38,9 +38,9 @@
 }
 
 // checkSize reports a size in the file that is zero or negative.
-func (s *inspection) checkSize(path string, size int64) {
+func (s *inspection) checkSize(path string, size float64) {
 	if size <= 0 && s.has(path) {
-		s.add(Warning, NotPositive, path, "the size %d is not positive", size)
+		s.add(Warning, NotPositive, path, "the size %v is not positive", size)
 	}
 }
 
--- a/inspector/places.go
+++ b/inspector/places.go
@@ -30,8 +30,8 @@
 	raw []byte
 	// lineStarts has the offset of the first byte of each line.
 	lineStarts []int
-	// last is the position that was asked for last. The next one is mostly behind it; counting
-	// from the start of the line took 28 s for 35,000 findings in a file of one line.
+	// last is the position that was asked for last. The next one is mostly behind it, and
+	// counting from the start of the line each time is quadratic in a file of one line.
 	last   located
 	byPath map[string]int
 	list   []place
@@ -40,8 +40,8 @@
 }
 
 // newPlaces returns the places of the values of raw. There are none if raw is not valid JSON:
-// encoding/json bounds the nesting of valid documents only, and a file of a few megabytes
-// with an opening bracket in each byte exhausted the stack.
+// encoding/json bounds the nesting of valid documents only, and unbounded recursion exhausts
+// the stack.
 func newPlaces(raw []byte) *places {
 	p := &places{raw: raw, lineStarts: []int{0}, byPath: map[string]int{}}
 	for i, c := range raw {
--- a/permitter/warmup.go
+++ b/permitter/warmup.go
@@ -9,10 +9,10 @@
 	"buckthorndrum/identifier"
 )
 
-// ColdCause is by what a process has learned that a target is cold.
+// ColdCause is the evidence from which a process concluded that a target is cold.
 type ColdCause string
 
-// Causes of a ColdCause.
+// Values of ColdCause.
 const (
 	// ColdByEntry means that the entry of the target says so.
 	ColdByEntry ColdCause = "its entry"
@@ -37,7 +37,7 @@
 	maxPermitInterval = time.Hour
 )
 
-// ColdRate is what a cold target of a pool stands. The zero ColdRate means that the targets
+// ColdRate is the load that a cold target of a pool can handle. The zero ColdRate means that the targets
 // of the pool are never cold.
 type ColdRate struct {
 	// Duration is how long a target is cold after its start.
@@ -84,8 +84,8 @@
 	return time.Duration(min(seconds, maxPermitInterval.Seconds()) * float64(time.Second))
 }
 
-// PermitPace is how often a process has a permit.
-type PermitPace struct {
+// PermitSchedule is how often a process has a permit.
+type PermitSchedule struct {
 	// Interval is the time between two permits, zero if targets are never cold.
 	Interval time.Duration
 	// NotBefore is the earliest start of a permit. Until then the process does not know how
@@ -103,9 +103,9 @@
 	coldUntil identifier.Instant
 	// refusedAt is when the target last refused a connection, zero if it has responded since.
 	refusedAt identifier.Instant
-	// cause is by what the current cold period was learned first.
-	cause ColdCause
-	pace  PermitPace
+	// cause is the first evidence for the current cold period.
+	cause    ColdCause
+	schedule PermitSchedule
 	// phase, from 0 to 1, is where in the first interval the first permit begins.
 	phase float64
 	// start is the start of the latest permit, zero before the first. next is that of the
@@ -115,10 +115,10 @@
 	taken bool
 }
 
-// SetPace replaces the pace. The time until the next permit is scaled with the interval: if
+// SetSchedule replaces the schedule. The time until the next permit is scaled with the interval: if
 // all processes learn of others at once, their next permits remain spread over an interval.
-func (w *WarmUp) SetPace(now identifier.Instant, p PermitPace) {
-	if old := w.pace.Interval; old != p.Interval {
+func (w *WarmUp) SetSchedule(now identifier.Instant, p PermitSchedule) {
+	if old := w.schedule.Interval; old != p.Interval {
 		w.advance(now)
 		if w.next != 0 && p.Interval > 0 && old > 0 {
 			w.next = now.Add(time.Duration(float64(w.next.Sub(now)) * float64(p.Interval) / float64(old)))
@@ -126,7 +126,7 @@
 			w.next = 0
 		}
 	}
-	w.pace = p
+	w.schedule = p
 }
 
 // RecordCold records that the target is cold for the duration d. An end that was learned
@@ -167,35 +167,35 @@
 	w.coldUntil = max(w.coldUntil, now.Add(d))
 }
 
-// isCold reports whether the target is cold, whether or not its pool has a pace.
+// isCold reports whether the target is cold, whether or not its pool has a schedule.
 func (w *WarmUp) isCold(now identifier.Instant) bool {
 	return now < w.coldUntil || w.refusedAt != 0 && now.Sub(w.refusedAt) < MaxCold
 }
 
 // Cold reports whether the target is cold, so that its requests need permits.
-func (w *WarmUp) Cold(now identifier.Instant) bool { return w.pace.Interval > 0 && w.isCold(now) }
+func (w *WarmUp) Cold(now identifier.Instant) bool { return w.schedule.Interval > 0 && w.isCold(now) }
 
-// Cause returns by what the latest cold period was learned first.
+// Cause returns the first evidence for the latest cold period.
 func (w *WarmUp) Cause() ColdCause { return w.cause }
 
 // Until returns until when the target is cold, as far as that is known.
 func (w *WarmUp) Until() identifier.Instant { return w.coldUntil }
 
 // advance moves to the latest permit that has begun. It determines the first permit when the
-// target is first looked at after pace.NotBefore.
+// target is first looked at after schedule.NotBefore.
 func (w *WarmUp) advance(now identifier.Instant) {
-	if w.pace.Interval <= 0 || now < w.pace.NotBefore {
+	if w.schedule.Interval <= 0 || now < w.schedule.NotBefore {
 		return
 	}
 	if w.next == 0 {
-		w.next = now.Add(time.Duration(w.phase * float64(w.pace.Interval)))
+		w.next = now.Add(time.Duration(w.phase * float64(w.schedule.Interval)))
 	}
 	if now < w.next {
 		return
 	}
-	passed := now.Sub(w.next) / w.pace.Interval
-	w.start = w.next.Add(passed * w.pace.Interval)
-	w.next = w.start.Add(w.pace.Interval)
+	passed := now.Sub(w.next) / w.schedule.Interval
+	w.start = w.next.Add(passed * w.schedule.Interval)
+	w.next = w.start.Add(w.schedule.Interval)
 	w.taken = false
 }
 
@@ -212,12 +212,12 @@
 	if w.hasPermit(now) {
 		return Decision{}
 	}
-	return Decision{Reason: WarmingUp, Until: max(w.next, w.pace.NotBefore, now)}
+	return Decision{Reason: WarmingUp, Until: max(w.next, w.schedule.NotBefore, now)}
 }
 
 // hasPermit reports whether the latest permit may be used.
 func (w *WarmUp) hasPermit(now identifier.Instant) bool {
-	return w.start != 0 && now >= w.pace.NotBefore && !w.taken && now < w.permitEnd()
+	return w.start != 0 && now >= w.schedule.NotBefore && !w.taken && now < w.permitEnd()
 }
 
 // TakePermit uses the permit of this process if the target is cold and there is one. It
--- a/permitter/warmup_test.go
+++ b/permitter/warmup_test.go
@@ -61,11 +61,11 @@
 }
 
 func (f *coldFleet) setPace(n int) {
-	pace := PermitPace{Interval: PermitInterval(todaysBound.PermitRate(todaysRate.PerSecond), f.known[n])}
+	pace := PermitSchedule{Interval: PermitInterval(todaysBound.PermitRate(todaysRate.PerSecond), f.known[n])}
 	if f.startedAt[n] != 0 {
 		pace.NotBefore = f.startedAt[n].Add(startHold)
 	}
-	f.warmUps[n].SetPace(f.now, pace)
+	f.warmUps[n].SetSchedule(f.now, pace)
 }
 
 // restart replaces processes by ones that learn the size of the fleet within 1.5 s.
@@ -190,7 +190,7 @@
 func TestLatestEndOfColdPeriodApplies(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var w WarmUp
-		w.SetPace(second, PermitPace{Interval: time.Second})
+		w.SetSchedule(second, PermitSchedule{Interval: time.Second})
 		now, latest := second, identifier.Instant(0)
 		for range rapid.IntRange(1, 10).Draw(t, "notices") {
 			d := time.Duration(rapid.Int64Range(0, int64(time.Minute)).Draw(t, "for"))
@@ -214,7 +214,7 @@
 func TestRefusingTargetIsColdUntilItResponds(t *testing.T) {
 	g := NewWithT(t)
 	var w WarmUp
-	w.SetPace(second, PermitPace{Interval: time.Second})
+	w.SetSchedule(second, PermitSchedule{Interval: time.Second})
 	w.RecordResponse(second, second, time.Minute)
 	g.Expect(w.Cold(second)).To(BeFalse(), "it has not refused")
 	w.RecordRefused(10*second, 0.5)
@@ -236,7 +236,7 @@
 	var w WarmUp
 	g.Expect(w.TakePermit(second)).To(BeZero(), "it is warm")
 	g.Expect(w.Recheck(second, 0).Open()).To(BeTrue())
-	w.SetPace(second, PermitPace{Interval: time.Second, NotBefore: 2 * second})
+	w.SetSchedule(second, PermitSchedule{Interval: time.Second, NotBefore: 2 * second})
 	w.RecordCold(second, time.Minute, ColdByEntry, 0)
 	g.Expect(w.Decide(second)).To(Equal(Decision{Reason: WarmingUp, Until: 2 * second}))
 	g.Expect(w.Recheck(second, 0).Reason).To(Equal(WarmingUp), "it was sent while the target was warm")
@@ -248,7 +248,7 @@
 	g.Expect(w.Recheck(permit, permit).Reason).To(Equal(WarmingUp), "it has expired")
 	g.Expect(w.Decide(3 * second).Open()).To(BeTrue())
 	g.Expect(w.Decide((3 * second).Add(permitWindow)).Reason).To(Equal(WarmingUp))
-	w.SetPace(4*second, PermitPace{})
+	w.SetSchedule(4*second, PermitSchedule{})
 	g.Expect(w.Decide(4*second).Open()).To(BeTrue(), "the pool's targets are never cold")
 }
 
@@ -257,12 +257,12 @@
 func TestNextPermitScalesWithInterval(t *testing.T) {
 	g := NewWithT(t)
 	var w WarmUp
-	w.SetPace(second, PermitPace{Interval: 10 * time.Second})
+	w.SetSchedule(second, PermitSchedule{Interval: 10 * time.Second})
 	w.RecordCold(second, time.Hour, ColdByEntry, 0.4)
 	g.Expect(w.Decide(second).Until).To(Equal(5 * second))
-	w.SetPace(3*second, PermitPace{Interval: 100 * time.Second})
+	w.SetSchedule(3*second, PermitSchedule{Interval: 100 * time.Second})
 	g.Expect(w.Decide(3 * second).Until).To(Equal(23 * second))
-	w.SetPace(13*second, PermitPace{Interval: 10 * time.Second})
+	w.SetSchedule(13*second, PermitSchedule{Interval: 10 * time.Second})
 	g.Expect(w.Decide(13 * second).Until).To(Equal(14 * second))
 }
 
