--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -14,10 +15,11 @@
 
 // cases holds the cases by name. A case returns what rule was broken, empty if it held.
 var cases = map[string]func(f *fleet, trouble bool) (string, error){
-	"case6": payoutTwice,
-	"case7": truncatedAtFullPool,
-	"case8": truncatedAfterFreeze,
-	"case9": rejectedAndNotAnswered,
+	"case6":  payoutTwice,
+	"case7":  truncatedAtFullPool,
+	"case8":  truncatedAfterFreeze,
+	"case10": rejectedAndNotAnswered,
+	"case9":  cutBeforeTheEndOfGrace,
 }
 
 // wholeStream returns the events of a whole stream of a request.
@@ -359,3 +361,75 @@
 	f.note("client: %s got status %d, seal %q, after %.3f s, error %v", id, a.status, a.seal, a.took.Seconds(), a.err)
 	return a
 }
+
+// cutBeforeTheEndOfGrace changes grace_s in the settings file of a router, tells it so with a
+// hang-up signal, and stops it while streams run that end within the new grace period.
+func cutBeforeTheEndOfGrace(f *fleet, trouble bool) (string, error) {
+	f.store.put("op/config", config(1))
+	servers, err := f.startServers("llm", 2, 128)
+	if err != nil {
+		return "", err
+	}
+	r, err := f.startRouter(1, nil)
+	if err != nil {
+		return "", err
+	}
+	if _, err := f.startRouter(2, nil); err != nil {
+		return "", err
+	}
+	grace := 8 * time.Second
+	if trouble {
+		grace = 20 * time.Second
+	}
+	if err := f.setField(r, "bounds.grace_s", strconv.Itoa(int(grace/time.Second))); err != nil {
+		return "", err
+	}
+	f.note("settings of %s: bounds.grace_s=%.0f", r.name, grace.Seconds())
+	f.signal(r.process, syscall.SIGHUP)
+	time.Sleep(4 * time.Second)
+	const streams, events, pause = 20, 120, 100
+	var res results
+	var wg sync.WaitGroup
+	var stoppedAt time.Time
+	for i := range streams {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			id := fmt.Sprintf("draft-%d", i)
+			header := map[string]string{"X-Model": "m", "X-Token-Usage": "50,720", "X-Prompt-Prefix": fmt.Sprintf("%x:10,%x:40", i%7, 1000+i)}
+			a := f.request(r.front, id, "POST", fmt.Sprintf("/chat/%d/%d/chunked", events, pause), header, "x", 15*time.Second)
+			if a.whole {
+				res.count(fmt.Sprintf("status %d, whole", a.status))
+				return
+			}
+			since := time.Since(stoppedAt)
+			f.mu.Lock()
+			ran := len(f.runs[id]) > 0
+			f.mu.Unlock()
+			// The rule leaves out what a server was still at work on in the last sixth.
+			if ran && since < grace*5/6 {
+				res.count("cut, counted")
+				res.breach(fmt.Sprintf("%s: its connection ends in the middle of the answer %.1f s after SIGTERM, of %.0f s", id, since.Seconds(), grace.Seconds()))
+				return
+			}
+			res.count("cut in the last sixth of grace_s")
+		}()
+		time.Sleep(5 * time.Millisecond)
+	}
+	time.Sleep(time.Second)
+	stoppedAt = time.Now()
+	f.signal(r.process, syscall.SIGTERM)
+	killed := time.AfterFunc(grace, func() { f.signal(r.process, syscall.SIGKILL) })
+	wg.Wait()
+	<-r.done
+	f.note("router %s has ended %.1f s after SIGTERM", r.name, time.Since(stoppedAt).Seconds())
+	killed.Stop()
+	for _, s := range servers {
+		select {
+		case <-s.done:
+			return "", fmt.Errorf("%w: a server has ended", errCannotRun)
+		default:
+		}
+	}
+	return res.verdict(f, "LOST"), nil
+}
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -227,6 +227,25 @@
 	return nil, fmt.Errorf("%w: router %d is not ready", errCannotRun, n)
 }
 
+// setField changes one field of a router's settings file.
+func (f *fleet) setField(r *router, name, value string) error {
+	raw, err := os.ReadFile(r.settings)
+	if err != nil {
+		return err
+	}
+	lines := strings.Split(string(raw), "\n")
+	for i, line := range lines {
+		if strings.HasPrefix(line, name+"=") {
+			lines[i] = name + "=" + value
+		}
+	}
+	next := r.settings + ".new"
+	if err := os.WriteFile(next, []byte(strings.Join(lines, "\n")), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, r.settings)
+}
+
 // target is a server of the fleet, with its entry in the store.
 type target struct {
 	*process
