--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -16,10 +17,10 @@
 // cases holds the cases by name. A case returns what rule was broken, empty if it held.
 var cases = map[string]func(f *fleet, trouble bool) (string, error){
 	"case6":  payoutTwice,
-	"case7":  truncatedAtFullPool,
-	"case8":  truncatedAfterFreeze,
-	"case10": rejectedAndNotAnswered,
-	"case9":  cutBeforeTheEndOfGrace,
+	"case7":  truncatedAfterFreeze,
+	"case8":  cutBeforeTheEndOfGrace,
+	"case9":  rejectedAndNotAnswered,
+	"case10": truncatedAtFullPool,
 }
 
 // wholeStream returns the events of a whole stream of a request.
@@ -153,40 +154,87 @@
 	return c
 }
 
-// truncatedAtFullPool kills a server while the router has as many connections to servers as it
-// may have. The servers' streams have no length and end with their connection.
+// truncatedAtFullPool kills servers while the router has as many connections to servers as it
+// may have and more requests press. One of 20 streams of half of the servers has no length.
 func truncatedAtFullPool(f *fleet, trouble bool) (string, error) {
+	f.brief = true
 	f.store.put("op/config", config(1))
-	servers, err := f.startServers("llm", 9, 128)
-	if err != nil {
-		return "", err
+	servers := map[string]*target{}
+	for i := range 57 {
+		var more []string
+		// With about 16 streams for each server, these are 22 of some 450 streams of 28 servers.
+		if i%2 == 1 && i < 44 {
+			more = []string{"-unframed", "20"}
+		}
+		t, err := f.startServer(fmt.Sprintf("i-llm-%d", i), "llm", "", 48, more...)
+		if err != nil {
+			return "", err
+		}
+		servers[t.id] = t
 	}
 	r, err := f.startRouter(1, nil)
 	if err != nil {
 		return "", err
 	}
-	const streams, events, pause = 1100, 60, 150
+	const clients, events, pause = 1580, 60, 150
 	var res results
 	var wg sync.WaitGroup
-	for i := range streams {
+	stop := make(chan struct{})
+	var atOnce atomic.Bool
+	for i := range clients {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			id := fmt.Sprintf("draft-%d", i)
-			header := map[string]string{"X-Model": "m", "X-Token-Usage": "50,360", "X-Prompt-Prefix": fmt.Sprintf("%x:10,%x:40", i%97, 1000+i)}
-			a := f.request(r.front, id, "POST", fmt.Sprintf("/chat/%d/%d/unframed", events, pause), header, "x", 15*time.Second)
-			f.judgeStream(&res, id, a, events)
+			for try := 0; ; try++ {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				id := fmt.Sprintf("draft-%d-%d", i, try)
+				header := map[string]string{"X-Model": "m", "X-Token-Usage": "50,360", "X-Prompt-Prefix": fmt.Sprintf("%x:10,%x:40", i%300, 1000+i)}
+				a := f.request(r.front, id, "POST", fmt.Sprintf("/chat/%d/%d", events, pause), header, "x", 15*time.Second)
+				if a.status != 503 {
+					f.judgeStream(&res, id, a, events)
+					continue
+				}
+				// Three of ten clients repeat three times at once, the others wait as they are told.
+				if i%10 >= 3 || try%4 == 3 || !atOnce.Load() {
+					time.Sleep(200 * time.Millisecond)
+				}
+			}
 		}()
-		time.Sleep(3 * time.Millisecond)
+		time.Sleep(2 * time.Millisecond)
 	}
+	atOnce.Store(true)
 	time.Sleep(time.Second)
-	if trouble {
-		f.signal(servers[0].process, syscall.SIGKILL)
+	for range 9 {
+		if trouble {
+			if t := f.runsUnframed(servers); t != nil {
+				f.signal(t.process, syscall.SIGKILL)
+				delete(servers, t.id)
+			}
+		}
+		time.Sleep(500 * time.Millisecond)
 	}
+	close(stop)
 	wg.Wait()
+	f.note("%d requests were refused with 503", f.refused.Load())
 	return res.verdict(f, "MIXED"), nil
 }
 
+// runsUnframed returns one of the servers that runs a stream without a length, nil if none does.
+func (f *fleet) runsUnframed(servers map[string]*target) *target {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, id := range f.unframed {
+		if t := servers[id]; t != nil {
+			return t
+		}
+	}
+	return nil
+}
+
 // judgeStream counts an answer, and a breach if it looks like a complete success and is not the
 // whole stream.
 func (f *fleet) judgeStream(res *results, id string, a answer, events int) {
@@ -205,16 +253,21 @@
 }
 
 // truncatedAfterFreeze stops a router for 1.5 s; meanwhile a server is killed and started again
-// under its id and address. Its streams have no length and end with their connection.
+// under its id and address. One of 20 of its streams has no length and ends with its connection.
 func truncatedAfterFreeze(f *fleet, trouble bool) (string, error) {
 	// TROUBLE=freeze and TROUBLE=crash bring about one of the two disruptions alone.
 	mode := os.Getenv("TROUBLE")
 	freezes, crashes := trouble && mode != "crash", trouble && mode != "freeze"
 	f.store.put("op/config", config(1))
-	servers, err := f.startServers("llm", 4, 128)
+	servers, err := f.startServers("llm", 2, 128, "-unframed", "20")
 	if err != nil {
 		return "", err
 	}
+	for i := 2; i < 4; i++ {
+		if _, err := f.startServer(fmt.Sprintf("i-llm-%d", i), "llm", "", 128); err != nil {
+			return "", err
+		}
+	}
 	r, err := f.startRouter(1, nil)
 	if err != nil {
 		return "", err
@@ -222,7 +275,7 @@
 	if _, err := f.startRouter(2, nil); err != nil {
 		return "", err
 	}
-	const streams, events, pause = 40, 40, 80
+	const streams, events, pause = 320, 40, 80
 	var res results
 	var wg sync.WaitGroup
 	for i := range streams {
@@ -230,11 +283,11 @@
 		go func() {
 			defer wg.Done()
 			id := fmt.Sprintf("draft-%d", i)
-			header := map[string]string{"X-Model": "m", "X-Token-Usage": "50,240", "X-Prompt-Prefix": fmt.Sprintf("%x:10,%x:40", i%23, 1000+i)}
-			a := f.request(r.front, id, "POST", fmt.Sprintf("/chat/%d/%d/unframed", events, pause), header, "x", 15*time.Second)
+			header := map[string]string{"X-Model": "m", "X-Token-Usage": "50,240", "X-Prompt-Prefix": fmt.Sprintf("%x:10,%x:40", i%61, 1000+i)}
+			a := f.request(r.front, id, "POST", fmt.Sprintf("/chat/%d/%d", events, pause), header, "x", 15*time.Second)
 			f.judgeStream(&res, id, a, events)
 		}()
-		time.Sleep(5 * time.Millisecond)
+		time.Sleep(2 * time.Millisecond)
 	}
 	time.Sleep(time.Second)
 	if freezes {
@@ -247,7 +300,7 @@
 	}
 	time.Sleep(500 * time.Millisecond)
 	if crashes {
-		if _, err := f.startServer(servers[0].id, "llm", servers[0].address, 128); err != nil {
+		if _, err := f.startServer(servers[0].id, "llm", servers[0].address, 128, "-unframed", "20"); err != nil {
 			return "", err
 		}
 	}
@@ -288,7 +341,7 @@
 		go func() {
 			defer wg.Done()
 			id := fmt.Sprintf("note-%d", i)
-			a := f.sendInParts(r.front, id, "/note/4/20/chunked", 15*time.Second, strings.Repeat("n", part*parts), part, 100*time.Millisecond)
+			a := f.sendInParts(r.front, id, "/note/4/20", 15*time.Second, strings.Repeat("n", part*parts), part, 100*time.Millisecond)
 			res.count(fmt.Sprintf("status %d", a.status))
 			mu.Lock()
 			defer mu.Unlock()
@@ -397,7 +450,7 @@
 			defer wg.Done()
 			id := fmt.Sprintf("draft-%d", i)
 			header := map[string]string{"X-Model": "m", "X-Token-Usage": "50,720", "X-Prompt-Prefix": fmt.Sprintf("%x:10,%x:40", i%7, 1000+i)}
-			a := f.request(r.front, id, "POST", fmt.Sprintf("/chat/%d/%d/chunked", events, pause), header, "x", 15*time.Second)
+			a := f.request(r.front, id, "POST", fmt.Sprintf("/chat/%d/%d", events, pause), header, "x", 15*time.Second)
 			if a.whole {
 				res.count(fmt.Sprintf("status %d, whole", a.status))
 				return
--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -31,6 +32,11 @@
 	procs     []*process
 	// runs holds the runs that the servers have told of, by request.
 	runs map[string][]run
+	// brief is set if requests that are refused with 503 are counted and not recorded one by one.
+	brief   bool
+	refused atomic.Int64
+	// unframed holds the servers of the streams without a length that run, by request.
+	unframed map[string]string
 }
 
 // run is one run of a request at a server.
@@ -65,7 +71,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{dir: dir, root: root, store: newStore(), started: time.Now(), record: record, runs: map[string][]run{}}
+	f := &fleet{dir: dir, root: root, store: newStore(), started: time.Now(), record: record, runs: map[string][]run{}, unframed: map[string]string{}}
 	f.storeAddr, err = f.store.start()
 	return f, err
 }
@@ -268,7 +274,10 @@
 		case "run":
 			request, _, _ := strings.Cut(rest, " ")
 			f.runs[request] = append(f.runs[request], run{server: id, at: time.Now(), line: line})
+		case "unframed":
+			f.unframed[rest] = id
 		case "end":
+			delete(f.unframed, rest)
 			for i := range f.runs[rest] {
 				f.runs[rest][i].ended = true
 			}
@@ -328,12 +337,18 @@
 	if method != http.MethodGet {
 		head += "Content-Length: " + strconv.Itoa(len(body)) + "\r\n"
 	}
-	f.note("client: %s sent: %s %s", id, method, path)
+	if !f.brief {
+		f.note("client: %s sent: %s %s", id, method, path)
+	}
 	if _, err := io.WriteString(c, head+"\r\n"+body); err != nil {
 		return answer{err: err, took: time.Since(began)}
 	}
 	a := readAnswer(bufio.NewReader(c), method)
 	a.took = time.Since(began)
+	if f.brief && a.status == http.StatusServiceUnavailable {
+		f.refused.Add(1)
+		return a
+	}
 	f.note("client: %s got status %d, seal %q, %d bytes, whole %v, after %.3f s, error %v", id, a.status, a.seal, len(a.body), a.whole, a.took.Seconds(), a.err)
 	return a
 }
--- a/review/standin-2/server.go
+++ b/review/standin-2/server.go
@@ -16,7 +16,7 @@
 )
 
 // runServer is a stand-in of a server, as PROTOCOL.md describes it. What a request asks for is
-// in its path: /PREFIX/EVENTS/PAUSE_MS/FRAMING for a stream of events, and a path that ends in
+// in its path: /PREFIX/EVENTS/PAUSE_MS for a stream of events, and a path that ends in
 // plain/MS for a plain answer after some milliseconds. It writes a line for each run and its end to the
 // standard output.
 func runServer(args []string) int {
@@ -25,6 +25,8 @@
 	id := fs.String("id", "", "id of the instance")
 	slots := fs.Int("slots", 64, "slots")
 	lose := fs.Int("lose", 0, "how many of each five plain answers are lost")
+	unframed := fs.Int("unframed", 0, "one of so many streams has no length, none if it is 0")
+	unframedFor := fs.Duration("unframed-for", 5*time.Second, "how long from the first stream on streams have no length")
 	_ = fs.Parse(args)
 	l, err := net.Listen("tcp4", *listen)
 	if err != nil {
@@ -32,7 +34,7 @@
 		return 2
 	}
 	fmt.Println("listening", l.Addr().String())
-	s := &server{id: *id, slots: int64(*slots), lose: int64(*lose)}
+	s := &server{id: *id, slots: int64(*slots), lose: int64(*lose), unframed: int64(*unframed), unframedFor: *unframedFor}
 	for {
 		c, err := l.Accept()
 		if err != nil {
@@ -49,7 +51,14 @@
 	// lose is how many of each five plain answers are lost, and plain counts these answers.
 	lose  int64
 	plain atomic.Int64
-	mu    sync.Mutex
+	// unframed is how many streams there are to one that has no length, zero for none, and
+	// streams counts the streams. The one is in the middle of them.
+	unframed int64
+	streams  atomic.Int64
+	// unframedFor is how long from the first stream on there are such, which began at first.
+	unframedFor time.Duration
+	first       time.Time
+	mu          sync.Mutex
 }
 
 func (s *server) say(format string, args ...any) {
@@ -119,16 +128,17 @@
 		_, err := io.WriteString(c, s.head(id, 200)+seal+"Content-Type: text/plain\r\nContent-Length: "+strconv.Itoa(len(body))+"\r\n\r\n"+body)
 		return err == nil
 	}
-	if len(parts) != 4 {
+	if len(parts) != 3 {
 		_, err := io.WriteString(c, s.head(id, 400)+seal+"Content-Length: 0\r\n\r\n")
 		return err == nil
 	}
 	events, _ := strconv.Atoi(parts[1])
 	pause, _ := strconv.Atoi(parts[2])
-	unframed := parts[3] == "unframed"
+	unframed := s.beginsUnframed()
 	framing := "Transfer-Encoding: chunked\r\n"
 	if unframed {
 		framing = "Connection: close\r\n"
+		s.say("unframed %s", id)
 	}
 	if _, err := io.WriteString(c, s.head(id, 200)+seal+"Content-Type: text/event-stream\r\n"+framing+"\r\n"); err != nil {
 		return false
@@ -151,6 +161,16 @@
 	return err == nil
 }
 
+// beginsUnframed reports whether the stream that begins now has no length.
+func (s *server) beginsUnframed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.first.IsZero() {
+		s.first = time.Now()
+	}
+	return s.unframed > 0 && s.streams.Add(1)%s.unframed == s.unframed/2 && time.Since(s.first) < s.unframedFor
+}
+
 // streamEvent returns event n of the stream of a request.
 func streamEvent(id string, n int) string {
 	return fmt.Sprintf("id: %d\ndata: {\"request\":\"%s\",\"piece\":%d}\n\n", n, id, n)
