--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -18,7 +18,7 @@
 
 // conn is one connection to a target. One exchange uses it at a time.
 type conn struct {
-	net.Conn
+	*answerConn
 	br *bufio.Reader
 	// headLimiter bounds the bytes read for the head of an answer.
 	headLimiter *headLimiter
@@ -43,8 +43,9 @@
 const readBuffer = 4 << 10
 
 func newConn(c net.Conn) *conn {
-	limiter := &headLimiter{r: c}
-	return &conn{Conn: c, br: bufio.NewReaderSize(limiter, readBuffer), headLimiter: limiter, idleTimeout: defaultIdleTimeout}
+	ac := &answerConn{Conn: c}
+	limiter := &headLimiter{r: ac}
+	return &conn{answerConn: ac, br: bufio.NewReaderSize(limiter, readBuffer), headLimiter: limiter, idleTimeout: defaultIdleTimeout}
 }
 
 // close closes the connection. The caller must not hold the lock of its pool.
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -173,19 +173,42 @@
 // addListeningTarget starts a target whose script is made for its listener, and adds it
 // to the router's list.
 func (f *fleet) addListeningTarget(id string, newScript func(net.Listener) script) {
+	l := listenForTarget(f.t)
+	s := newScript(l)
+	f.listTarget(id, l, func(c net.Conn) { f.serveTarget(id, c, s) })
+}
+
+// addRawTarget starts a target that serves each connection itself, and adds it to the
+// router's list.
+func (f *fleet) addRawTarget(id string, serve func(c *net.TCPConn)) {
+	l := listenForTarget(f.t)
+	f.listTarget(id, l, func(c net.Conn) {
+		defer func() { _ = c.Close() }()
+		serve(c.(*net.TCPConn))
+	})
+}
+
+// listenForTarget returns a listener that is closed at the end of the test.
+func listenForTarget(t testing.TB) net.Listener {
+	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		f.t.Fatal(err)
+		t.Fatal(err)
 	}
-	f.t.Cleanup(func() { _ = l.Close() })
-	s := newScript(l)
+	t.Cleanup(func() { _ = l.Close() })
+	return l
+}
+
+// listTarget serves the connections of a listener and adds it to the router's list as a
+// target.
+func (f *fleet) listTarget(id string, l net.Listener, serve func(c net.Conn)) {
 	go func() {
 		for {
 			c, err := l.Accept()
 			if err != nil {
 				return
 			}
-			go f.serveTarget(id, c, s)
+			go serve(c)
 		}
 	}()
 	f.targets = append(f.targets, admitter.Target{ID: identifier.Target(id), Pool: testPool, Slots: 8, Incarnation: 1, Address: l.Addr().String()})
