--- a/exchanger/answer_test.go
+++ b/exchanger/answer_test.go
@@ -8,7 +8,9 @@
 	"io"
 	"net"
 	"net/http"
+	"reflect"
 	"runtime"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -207,46 +209,86 @@
 			}
 			break
 		}
-		got, complete := readAnswer(sent.Bytes())
+		got, complete := readAnswer(sent.Bytes(), rapid.IntRange(1, 100).Draw(t, "size of a write"))
 		if complete != wantComplete || got != want {
 			t.Fatalf("%q is read as %q, complete %v; want %q, complete %v", sent.String(), got, complete, want, wantComplete)
 		}
 	})
 }
 
-// readAnswer reads the answer to request a from raw, after which the connection ends.
-func readAnswer(raw []byte) (body string, complete bool) {
+// readAnswer reads the answer to request a from raw, which is written size bytes at a time and
+// after which the connection ends.
+func readAnswer(raw []byte, size int) (body string, complete bool) {
+	r := tryAnswer(raw, size)
+	return r.body, r.complete
+}
+
+// readResult is what became of an answer that was read.
+type readResult struct {
+	// protoMajor, status and header are those of its head, zero if none was read.
+	protoMajor int
+	status     int
+	header     http.Header
+	// body is its body if complete is set.
+	body     string
+	complete bool
+}
+
+// tryAnswer is like readAnswer, and returns the head, too.
+func tryAnswer(raw []byte, size int) readResult {
 	poolEnd, targetEnd := net.Pipe()
 	defer func() { _ = poolEnd.Close() }()
 	go func() {
-		_, _ = targetEnd.Write(raw)
+		for part := range slices.Chunk(raw, size) {
+			if _, err := targetEnd.Write(part); err != nil {
+				break
+			}
+		}
 		_ = targetEnd.Close()
 	}()
 	k := newConn(poolEnd)
 	resp, err := k.read(Call{Method: http.MethodGet, ID: "a"}, func(h http.Header) string { return h.Get("Id") })
 	if err != nil {
-		return "", false
+		return readResult{}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	b, err := io.ReadAll(io.LimitReader(resp.Body, maxSkippedBody))
-	if err != nil {
-		return "", false
+	r := readResult{protoMajor: resp.ProtoMajor, status: resp.StatusCode, header: resp.Header}
+	if b, err := io.ReadAll(io.LimitReader(resp.Body, maxSkippedBody)); err == nil {
+		r.body, r.complete = string(b), true
 	}
-	return string(b), true
+	return r
 }
 
 // FuzzAnswer checks that arbitrary bytes neither crash the reader nor yield a complete body
-// longer than the bytes received.
+// longer than the bytes received, that an answer's head keeps the rule of heads, and that it
+// makes no difference in which pieces the bytes arrive.
 func FuzzAnswer(f *testing.F) {
-	f.Add([]byte(answerText("a", "x")))
-	f.Add([]byte(answerText("b", "x") + answerText("a", "y")))
-	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n" + answerText("a", "y")))
-	f.Add([]byte("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1;x=y\r\nx\r\n0\r\nT: v\r\n\r\n"))
-	f.Add([]byte("HTTP/1.0 200 OK\r\n\r\nx"))
-	f.Fuzz(func(t *testing.T, raw []byte) {
-		body, complete := readAnswer(raw)
-		if complete && len(body) > len(raw) {
-			t.Fatalf("%d bytes of body from %d", len(body), len(raw))
+	f.Add([]byte(answerText("a", "x")), byte(0))
+	f.Add([]byte(answerText("b", "x")+answerText("a", "y")), byte(7))
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\n"+answerText("a", "y")), byte(1))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n1;x=y\r\nx\r\n0\r\nT: v\r\n\r\n"), byte(2))
+	f.Add([]byte("HTTP/1.0 200 OK\r\n\r\nx"), byte(3))
+	for _, raw := range badHeads() {
+		f.Add([]byte(raw), byte(5))
+	}
+	f.Fuzz(func(t *testing.T, raw []byte, size byte) {
+		r := tryAnswer(raw, max(1, len(raw)))
+		if len(r.body) > len(raw) {
+			t.Fatalf("%d bytes of body from %d", len(r.body), len(raw))
+		}
+		if r.status != 0 {
+			checkHead(t, r)
+		}
+		if again := tryAnswer(raw, 1+int(size)); !reflect.DeepEqual(r, again) {
+			t.Fatalf("%q yields %+v in one piece, and %+v in pieces", raw, r, again)
 		}
 	})
 }
+
+// checkHead fails the test if a head that was taken for that of an answer breaks the rule.
+func checkHead(t *testing.T, r readResult) {
+	t.Helper()
+	if r.status < minStatus || r.status > maxStatus || r.protoMajor != 1 {
+		t.Fatalf("HTTP/%d with status %d is an answer", r.protoMajor, r.status)
+	}
+}
--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net"
@@ -20,8 +21,8 @@
 type conn struct {
 	*answerConn
 	br *bufio.Reader
-	// headLimiter bounds the bytes read for the head of an answer.
-	headLimiter *headLimiter
+	// heads checks the heads of answers, under br.
+	heads *headReader
 	// reused reports whether the connection carried a request before the current one.
 	reused bool
 	// idleTimeout is how long the connection may stay idle, and idleSince the time from
@@ -44,8 +45,8 @@
 
 func newConn(c net.Conn) *conn {
 	ac := &answerConn{Conn: c}
-	limiter := &headLimiter{r: ac}
-	return &conn{answerConn: ac, br: bufio.NewReaderSize(limiter, readBuffer), headLimiter: limiter, idleTimeout: defaultIdleTimeout}
+	heads := &headReader{r: ac}
+	return &conn{answerConn: ac, br: bufio.NewReaderSize(heads, readBuffer), heads: heads, idleTimeout: defaultIdleTimeout}
 }
 
 // close closes the connection. The caller must not hold the lock of its pool.
@@ -139,11 +140,19 @@
 	}
 }
 
+// expectHead makes the next bytes be checked as the head of an answer, also those that were
+// read together with the answer before it.
+func (k *conn) expectHead() {
+	k.heads.expect()
+	if early, _ := k.br.Peek(k.br.Buffered()); len(early) > 0 {
+		k.heads.unread = append(bytes.Clone(early), k.heads.unread...)
+		k.br.Reset(k.heads)
+	}
+}
+
 // readFinal reads the head of the next answer that is not an interim (1xx) answer.
-// maxHead bounds this head together with the interim answers before it.
 func (k *conn) readFinal(c Call) (*http.Response, error) {
-	k.headLimiter.setLimit(maxHead)
-	defer k.headLimiter.clearLimit()
+	k.expectHead()
 	for {
 		resp, err := http.ReadResponse(k.br, &http.Request{Method: c.Method})
 		if err != nil {
--- a/exchanger/head.go
+++ b/exchanger/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"sync"
 
 	"github.com/pkg/errors"
 )
@@ -12,38 +13,85 @@
 const maxHead = 64 << 10
 
 // maxHeadLines bounds the lines of these heads, of which each takes up more memory than its
-// bytes. It applies before each read, so that a read of readBuffer bytes may exceed it.
+// bytes.
 const maxHeadLines = 1000
 
 // errHeadTooLong means that the head of an answer, with the interim answers before it,
 // does not end within maxHead bytes and maxHeadLines lines.
 var errHeadTooLong = errors.Errorf("head of the answer has more than %d bytes or %d lines", maxHead, maxHeadLines)
 
-// headLimiter reads from a connection and fails with errHeadTooLong when its limit is
-// reached. It is needed because http.ReadResponse does not limit the size of a head.
-type headLimiter struct {
+// headReader reads from a connection and checks the heads of answers on their way, since
+// http.ReadResponse neither limits the size of a head nor refuses all that are malformed. It
+// is safe for concurrent use by one reader and one caller of expect.
+type headReader struct {
 	r io.Reader
-	// limited reports whether a limit is set, and remaining is how many bytes may still
-	// be read. lines counts the lines that were read since the limit was set.
-	limited   bool
-	remaining int
-	lines     int
+	// unread are bytes that were read and have to be read again. Only the reader uses it.
+	unread []byte
+	// mu guards the fields below.
+	mu sync.Mutex
+	// expected reports whether the next bytes belong to a head. size and lines count what
+	// was read of it and the interim heads before it, and line holds its last line as far
+	// as it was read.
+	expected    bool
+	size, lines int
+	line        []byte
+	rule        headRule
+	// fault is the fault of a head. All reads after it fail, as nothing that follows it
+	// belongs to an answer.
+	fault error
 }
 
-func (h *headLimiter) setLimit(n int) { h.limited, h.remaining, h.lines = true, n, 0 }
+// expect makes the reader check the next bytes as the head of an answer.
+func (h *headReader) expect() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.expected, h.size, h.lines = true, 0, 0
+	h.line, h.rule = nil, headRule{}
+}
 
-func (h *headLimiter) clearLimit() { h.limited = false }
+// Read implements io.Reader. It fails once a head is malformed or too long.
+func (h *headReader) Read(b []byte) (int, error) {
+	n, err := h.readAny(b)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for rest := b[:n]; h.expected && h.fault == nil && len(rest) > 0; {
+		rest, h.fault = h.checkLine(rest)
+	}
+	if h.fault != nil {
+		return 0, h.fault
+	}
+	return n, err
+}
 
-// Read implements io.Reader.
-func (h *headLimiter) Read(b []byte) (int, error) {
-	if !h.limited {
+// readAny reads bytes of any kind.
+func (h *headReader) readAny(b []byte) (int, error) {
+	if len(h.unread) == 0 {
 		return h.r.Read(b)
 	}
-	if h.remaining <= 0 || h.lines > maxHeadLines {
-		return 0, errHeadTooLong
+	n := copy(b, h.unread)
+	h.unread = h.unread[n:]
+	return n, nil
+}
+
+// checkLine checks the line of a head that b begins with or goes on with, and returns what
+// follows it. The caller holds mu.
+func (h *headReader) checkLine(b []byte) (rest []byte, err error) {
+	line, rest, ended := bytes.Cut(b, []byte("\n"))
+	if h.size += len(b) - len(rest); h.size > maxHead || h.lines >= maxHeadLines {
+		return nil, errHeadTooLong
 	}
-	n, err := h.r.Read(b[:min(len(b), h.remaining)])
-	h.remaining -= n
-	h.lines += bytes.Count(b[:n], []byte{'\n'})
-	return n, err
+	if len(h.line) > 0 || !ended {
+		h.line = append(h.line, line...)
+		line = h.line
+	}
+	if !ended {
+		return nil, nil
+	}
+	h.lines++
+	last, err := h.rule.next(bytes.TrimSuffix(line, []byte("\r")))
+	h.line = h.line[:0]
+	if last {
+		h.expected, h.line = false, nil
+	}
+	return rest, err
 }
--- /dev/null
+++ b/exchanger/head_test.go
@@ -0,0 +1,143 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+)
+
+// wellFormedFields are the rest of an answer's head to request a with five bytes of body.
+const wellFormedFields = "Id: a\r\nContent-Length: 5\r\n\r\nwhole"
+
+// badStatusLines are heads that are no answers, by the fault in their first line.
+var badStatusLines = map[string]string{
+	"status 000":               "HTTP/1.1 000 x\r\n" + wellFormedFields,
+	"status 000 and no reason": "HTTP/1.1 000\r\n" + wellFormedFields,
+	"status 099":               "HTTP/1.1 099 x\r\n" + wellFormedFields,
+	"status 600":               "HTTP/1.1 600 x\r\n" + wellFormedFields,
+	"status 999":               "HTTP/1.1 999 x\r\n" + wellFormedFields,
+	"a signed status":          "HTTP/1.1 +99 x\r\n" + wellFormedFields,
+	"a negative status":        "HTTP/1.1 -00 x\r\n" + wellFormedFields,
+	"a status of two digits":   "HTTP/1.1 20 x\r\n" + wellFormedFields,
+	"a status of four digits":  "HTTP/1.1 2000 x\r\n" + wellFormedFields,
+	"no status":                "HTTP/1.1 OK\r\n" + wellFormedFields,
+	"two blanks":               "HTTP/1.1  200 x\r\n" + wellFormedFields,
+	"a tab":                    "HTTP/1.1 200\tx\r\n" + wellFormedFields,
+	"a blank before it":        " HTTP/1.1 200 x\r\n" + wellFormedFields,
+	"an empty line before it":  "\r\nHTTP/1.1 200 x\r\n" + wellFormedFields,
+	"a control byte":           "HTTP/1.1 200 x\x01\r\n" + wellFormedFields,
+	"a carriage return":        "HTTP/1.1 200 x\rId: a\r\n" + wellFormedFields,
+	"another protocol":         "SSH-2.0 200 x\r\n" + wellFormedFields,
+	"HTTP/2.0":                 "HTTP/2.0 200 x\r\n" + wellFormedFields,
+	"HTTP/0.9":                 "HTTP/0.9 200 x\r\n" + wellFormedFields,
+	"a lower-case protocol":    "http/1.1 200 x\r\n" + wellFormedFields,
+}
+
+// badHeads returns heads that are no answers, by their fault.
+func badHeads() map[string]string { return badStatusLines }
+
+// sendOnly returns a script that answers each request with raw and keeps the connection open
+// until the pool closes it.
+func sendOnly(raw string) func(int64, net.Conn, *bufio.Reader) {
+	return func(_ int64, c net.Conn, br *bufio.Reader) {
+		if _, ok := readRequest(br); ok {
+			_, _ = io.WriteString(c, raw)
+			_, _ = io.Copy(io.Discard, br)
+		}
+	}
+}
+
+// expectNoAnswer checks that raw is refused at once, though the connection stays open, that
+// the request counts as sent, and that no answer that follows raw is taken for its own.
+func expectNoAnswer(t *testing.T, raw string) {
+	t.Helper()
+	g := NewWithT(t)
+	for _, tail := range []string{"", answerText("a", "not the target's answer")} {
+		s := newTarget(t, sendOnly(raw+tail))
+		p := newPool()
+		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		a, err := p.Do(ctx, getCall(s.Addr().String(), "a"))
+		if err == nil {
+			body, _ := io.ReadAll(a.Body)
+			a.Abort()
+			t.Errorf("%q is taken for an answer of status %d, header %q, body %q", raw+tail, a.Status, a.Header, body)
+		}
+		g.Expect(ctx.Err()).NotTo(HaveOccurred(), "%q is refused at once", raw+tail)
+		cancel()
+		var f *Fault
+		g.Expect(err == nil || errors.As(err, &f) && f.MaybeSent).To(BeTrue())
+		g.Expect(p.idle).To(BeEmpty())
+	}
+}
+
+// A head whose first line is no status line of HTTP/1 is no answer, and no interim answer.
+func TestBadStatusLineIsNoAnswer(t *testing.T) {
+	for name, raw := range badStatusLines {
+		t.Run(name, func(t *testing.T) { expectNoAnswer(t, raw) })
+	}
+	t.Run("behind an interim answer", func(t *testing.T) {
+		expectNoAnswer(t, "HTTP/1.1 103 x\r\nA: b\r\n\r\n"+badStatusLines["status 000"])
+	})
+	t.Run("behind an answer to another request", func(t *testing.T) {
+		expectNoAnswer(t, answerText("b", "stray")+badStatusLines["status 000"])
+	})
+}
+
+// A status that is none must not make what follows the head an answer, as behind an interim
+// answer, if the body looks like one.
+func TestBodyOfBadHeadIsNoAnswer(t *testing.T) {
+	inner := answerText("a", "not the target's answer")
+	for _, status := range []string{"000", "099", "-00", "+99"} {
+		expectNoAnswer(t, fmt.Sprintf("HTTP/1.1 %s x\r\nId: a\r\nContent-Length: %d\r\n\r\n%s", status, len(inner), inner))
+	}
+}
+
+// A fault that arrives by itself, behind sound lines, ends the reading, too.
+func TestFaultThatArrivesLaterIsFound(t *testing.T) {
+	for name, raw := range badHeads() {
+		for size := 1; size < len(raw); size++ {
+			if _, complete := readAnswer([]byte(raw+answerText("a", "x")), size); complete {
+				t.Errorf("a head with %s, written %d bytes at a time, is taken for an answer", name, size)
+			}
+		}
+	}
+}
+
+// Forms of a head that are unusual but sound.
+func TestUnusualHeadsAreAnswers(t *testing.T) {
+	for name, head := range map[string]string{
+		"no reason":               "HTTP/1.1 200 \r\nId: a\r\nContent-Length: 5\r\n\r\n",
+		"no blank and no reason":  "HTTP/1.1 200\r\nId: a\r\nContent-Length: 5\r\n\r\n",
+		"HTTP/1.0":                "HTTP/1.0 200 x\r\nId: a\r\nContent-Length: 5\r\n\r\n",
+		"status 599":              "HTTP/1.1 599 x\r\nId: a\r\nContent-Length: 5\r\n\r\n",
+		"lines without return":    "HTTP/1.1 200 x\nId: a\nContent-Length: 5\n\n",
+		"no blank behind a colon": "HTTP/1.1 200 x\r\nId:a\r\nContent-Length:5\r\n\r\n",
+		"blanks around a value":   "HTTP/1.1 200 x\r\nId: \t a\t \r\nContent-Length: 5 \r\n\r\n",
+		"an empty value":          "HTTP/1.1 200 x\r\nId: a\r\nX:\r\nContent-Length: 5\r\n\r\n",
+		"letters beyond ASCII":    "HTTP/1.1 200 \xc3\xa4\r\nId: a\r\nX: \xc3\xa4\xff\r\nContent-Length: 5\r\n\r\n",
+		"a name of all marks":     "HTTP/1.1 200 x\r\nId: a\r\n!#$%&'*+-.^_`|~9: \"(x)\", {y}\r\nContent-Length: 5\r\n\r\n",
+		"interim answers":         "HTTP/1.1 100 x\r\n\r\nHTTP/1.1 103 x\r\nA: b\r\n\r\nHTTP/1.1 200 x\r\nId: a\r\nContent-Length: 5\r\n\r\n",
+		"a long line":             "HTTP/1.1 200 x\r\nId: a\r\nX: " + strings.Repeat("x", 2*readBuffer) + "\r\nContent-Length: 5\r\n\r\n",
+		"the same length twice":   "HTTP/1.1 200 x\r\nId: a\r\nContent-Length: 5\r\nContent-Length: 5\r\n\r\n",
+		"no length":               "HTTP/1.1 200 x\r\nId: a\r\nConnection: close\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			s := newTarget(t, func(_ int64, c net.Conn, br *bufio.Reader) {
+				if _, ok := readRequest(br); ok {
+					_, _ = io.WriteString(c, head+"who")
+					_, _ = io.WriteString(c, "le")
+				}
+			})
+			g.Expect(mustExchange(g, newPool(), getCall(s.Addr().String(), "a"))).To(Equal("whole"))
+		})
+	}
+}
--- /dev/null
+++ b/exchanger/headrule.go
@@ -0,0 +1,73 @@
+package exchanger
+
+import (
+	"bytes"
+	"net/http"
+
+	"github.com/pkg/errors"
+)
+
+// headRule is the rule that the head of an answer keeps, with the interim answers before it.
+// It is stricter than http.ReadResponse, which reads a status such as 000.
+//
+// Source: RFC 9112, sections 2 to 6.
+type headRule struct {
+	// status is the status of the head, zero before its status line.
+	status int
+}
+
+// next checks the next line of a head, without its end. last reports whether it is the last
+// one of an answer that is no interim answer.
+func (r *headRule) next(line []byte) (last bool, err error) {
+	switch {
+	case r.status == 0:
+		return false, r.readStatusLine(line)
+	case len(line) > 0:
+		return false, nil
+	}
+	interim := r.status < http.StatusOK && r.status != http.StatusSwitchingProtocols
+	*r = headRule{}
+	return !interim, nil
+}
+
+const (
+	// minStatus and maxStatus bound the status of an answer.
+	minStatus = 100
+	maxStatus = 599
+	// statusDigits is the length of a status.
+	statusDigits = 3
+)
+
+// readStatusLine reads the status line of a head: the version of the protocol, a blank, the
+// status, and possibly a blank and a reason.
+func (r *headRule) readStatusLine(line []byte) error {
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	status, reason, _ := bytes.Cut(rest, []byte(" "))
+	if len(version) != len("HTTP/1.x") || !bytes.HasPrefix(version, []byte("HTTP/1.")) || !isDigit(version[len(version)-1]) {
+		return errors.Errorf("answer has the version %.40q", version)
+	}
+	if len(status) != statusDigits || !isDigit(status[0]) || !isDigit(status[1]) || !isDigit(status[2]) {
+		return errors.Errorf("answer has the status %.40q", status)
+	}
+	n := int(status[0]-'0')*100 + int(status[1]-'0')*10 + int(status[2]-'0')
+	if n < minStatus || n > maxStatus {
+		return errors.Errorf("answer has the status %s, which is not from %d to %d", status, minStatus, maxStatus)
+	}
+	if !isText(reason) {
+		return errors.Errorf("reason %.40q of the answer has a control byte", reason)
+	}
+	r.status = n
+	return nil
+}
+
+func isDigit(b byte) bool { return '0' <= b && b <= '9' }
+
+// isText reports whether b holds no control byte other than tabs.
+func isText(b []byte) bool {
+	for _, c := range b {
+		if c < ' ' && c != '\t' || c == '\x7f' {
+			return false
+		}
+	}
+	return true
+}
--- a/forwarder/brokenanswers_test.go
+++ b/forwarder/brokenanswers_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -53,3 +54,47 @@
 		})
 	}
 }
+
+// raw sends bytes as they are and keeps the connection open until the router closes it.
+func raw(format string) script {
+	return func(w net.Conn, r *http.Request) bool {
+		_, _ = io.WriteString(w, strings.ReplaceAll(format, "ID", r.Header.Get("Id")))
+		return true
+	}
+}
+
+// brokenHeads are answers to request ID whose head is none, by its fault. The body of some is
+// an answer of its own.
+var brokenHeads = map[string]string{
+	"status 000":                "HTTP/1.1 000 x\r\nId: ID\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole",
+	"status 000, other body":    "HTTP/1.1 000 x\r\nId: ID\r\nSeal: s\r\nContent-Length: 62\r\n\r\nHTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\nContent-Length: 5\r\n\r\nother",
+	"status 999":                "HTTP/1.1 999 x\r\nId: ID\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole",
+	"status 000 and not run":    "HTTP/1.1 000 x\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	"HTTP/2.0 and not run":      "HTTP/2.0 503 x\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+	"control byte in a reason":  "HTTP/1.1 200 \x01\r\nId: ID\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole",
+	"status behind interim one": "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 000 x\r\nId: ID\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole",
+}
+
+// What is no answer in the protocol reaches no caller, whatever it says: the caller hears at
+// once that its request may have run, or gets the answer of another target if it may run twice.
+func TestBrokenHeadsAreNotPassedOn(t *testing.T) {
+	for name, head := range brokenHeads {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newFleet(t, raw(head))
+			begun := time.Now()
+			a := f.send(f.request(http.MethodPost, "/ticket/1", "x"))
+			g.Expect(a.status).To(Equal(http.StatusBadGateway))
+			g.Expect(a.body).To(ContainSubstring("no whole answer"))
+			g.Expect(a.header.Get("Seal")).To(BeEmpty())
+			g.Expect(time.Since(begun)).To(BeNumerically("<", 2*time.Second), "it does not wait for its time limit")
+			g.Expect(f.requestsSeen()).To(HaveLen(1))
+
+			brokenOnce := firstThen(raw(head), completeAnswer)
+			both := newFleet(t, brokenOnce, brokenOnce)
+			a = both.send(both.request(http.MethodGet, "/lookup/1", ""))
+			g.Expect(a.status).To(Equal(http.StatusOK))
+			g.Expect(a.body).To(Equal("whole"))
+		})
+	}
+}
