--- a/acceptor/fuzz_test.go
+++ b/acceptor/fuzz_test.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"regexp"
 	"testing"
+
+	"buckthorndrum/validator"
 )
 
 // foldedFraming matches a folded field that determines the length of the body, which
@@ -93,7 +95,7 @@
 // validNames reports whether a server accepts all names of a header.
 func validNames(h http.Header) bool {
 	for name := range h {
-		if !isToken([]byte(name)) {
+		if !validator.IsFieldName([]byte(name)) {
 			return false
 		}
 	}
--- a/acceptor/headscanner.go
+++ b/acceptor/headscanner.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"strconv"
+
+	"buckthorndrum/validator"
 )
 
 // headScanner finds the end of a request head that arrives in pieces, and how long the body
@@ -63,7 +65,7 @@
 		return s.lines > 1 && !s.framed
 	}
 	name, value, ok := bytes.Cut(line, []byte{':'})
-	if !ok || !isToken(name) {
+	if !ok || !validator.IsFieldName(name) {
 		return false
 	}
 	s.framed = true
@@ -99,22 +101,3 @@
 	}
 	return bodyScanner{left: s.length}
 }
-
-// isToken reports whether the name of a header field has only characters that RFC 9110,
-// section 5.6.2, allows.
-func isToken(name []byte) bool {
-	for _, c := range name {
-		if !tokenBytes[c] {
-			return false
-		}
-	}
-	return len(name) > 0
-}
-
-// tokenBytes holds the bytes that a token may have.
-var tokenBytes = func() (is [256]bool) {
-	for _, c := range "!#$%&'*+-.^_`|~0123456789ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz" {
-		is[c] = true
-	}
-	return is
-}()
--- a/exchanger/answer_test.go
+++ b/exchanger/answer_test.go
@@ -18,6 +18,8 @@
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
 	"pgregory.net/rapid"
+
+	"buckthorndrum/validator"
 )
 
 // endlessAnswer returns a script that answers a request with start and then writes
@@ -291,4 +293,11 @@
 	if r.status < minStatus || r.status > maxStatus || r.protoMajor != 1 {
 		t.Fatalf("HTTP/%d with status %d is an answer", r.protoMajor, r.status)
 	}
+	for name, values := range r.header {
+		for _, v := range values {
+			if !validator.IsFieldName([]byte(name)) || !validator.IsFieldValue([]byte(v)) {
+				t.Fatalf("a head with the field %q: %q is that of an answer", name, v)
+			}
+		}
+	}
 }
--- a/exchanger/head_test.go
+++ b/exchanger/head_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"strings"
 	"testing"
@@ -42,7 +43,11 @@
 }
 
 // badHeads returns heads that are no answers, by their fault.
-func badHeads() map[string]string { return badStatusLines }
+func badHeads() map[string]string {
+	all := maps.Clone(badStatusLines)
+	maps.Copy(all, badFields)
+	return all
+}
 
 // sendOnly returns a script that answers each request with raw and keeps the connection open
 // until the pool closes it.
@@ -103,11 +108,15 @@
 // A fault that arrives by itself, behind sound lines, ends the reading, too.
 func TestFaultThatArrivesLaterIsFound(t *testing.T) {
 	for name, raw := range badHeads() {
+		var taken []int
 		for size := 1; size < len(raw); size++ {
 			if _, complete := readAnswer([]byte(raw+answerText("a", "x")), size); complete {
-				t.Errorf("a head with %s, written %d bytes at a time, is taken for an answer", name, size)
+				taken = append(taken, size)
 			}
 		}
+		if len(taken) > 0 {
+			t.Errorf("a head with %s is taken for an answer if it is written in pieces of %d bytes", name, taken)
+		}
 	}
 }
 
@@ -141,3 +150,45 @@
 		})
 	}
 }
+
+// badFields are heads that are no answers, by the fault in a line behind the first.
+var badFields = map[string]string{
+	"a blank behind a name":             "HTTP/1.1 200 x\r\nId: a\r\nContent-Length : 5\r\n\r\nwhole",
+	"a blank in a name":                 "HTTP/1.1 200 x\r\nId: a\r\nX Y: z\r\nContent-Length: 5\r\n\r\nwhole",
+	"a blank before the first name":     "HTTP/1.1 200 x\r\n X: y\r\n" + wellFormedFields,
+	"a blank before a name":             "HTTP/1.1 200 x\r\nId: a\r\n Content-Length: 5\r\n\r\nwhole",
+	"a tab before a name":               "HTTP/1.1 200 x\r\nId: a\r\n\tX: y\r\nContent-Length: 5\r\n\r\nwhole",
+	"a tab behind a name":               "HTTP/1.1 200 x\r\nX\t: y\r\n" + wellFormedFields,
+	"a folded value":                    "HTTP/1.1 200 x\r\nX: y\r\n z\r\n" + wellFormedFields,
+	"a line of blanks":                  "HTTP/1.1 200 x\r\nX: y\r\n  \r\n" + wellFormedFields,
+	"a control byte in a name":          "HTTP/1.1 200 x\r\nX\x01Y: z\r\n" + wellFormedFields,
+	"a zero byte in a name":             "HTTP/1.1 200 x\r\nX\x00: z\r\n" + wellFormedFields,
+	"a delete byte in a name":           "HTTP/1.1 200 x\r\nX\x7f: z\r\n" + wellFormedFields,
+	"a carriage return in a name":       "HTTP/1.1 200 x\r\nX\rY: z\r\n" + wellFormedFields,
+	"a letter beyond ASCII in a name":   "HTTP/1.1 200 x\r\n\xc3\xa4: z\r\n" + wellFormedFields,
+	"a bracket in a name":               "HTTP/1.1 200 x\r\nX(Y): z\r\n" + wellFormedFields,
+	"no name":                           "HTTP/1.1 200 x\r\n: z\r\n" + wellFormedFields,
+	"no colon":                          "HTTP/1.1 200 x\r\nXY\r\n" + wellFormedFields,
+	"a control byte in a value":         "HTTP/1.1 200 x\r\nX: \x01\r\n" + wellFormedFields,
+	"a zero byte in a value":            "HTTP/1.1 200 x\r\nX: y\x00\r\n" + wellFormedFields,
+	"a delete byte in a value":          "HTTP/1.1 200 x\r\nX: y\x7f\r\n" + wellFormedFields,
+	"a carriage return in a value":      "HTTP/1.1 200 x\r\nX: y\rId: a\r\n" + wellFormedFields,
+	"a second carriage return":          "HTTP/1.1 200 x\r\nX: y\r\r\n" + wellFormedFields,
+	"a carriage return as the end":      "HTTP/1.1 200 x\r\nId: a\r\nContent-Length: 5\r\n\r\r\nwhole",
+	"a blank in a name behind sound":    "HTTP/1.1 200 x\r\nId: a\r\nContent-Length: 5\r\nX : y\r\n\r\nwhole",
+	"a blank in a name of interim ones": "HTTP/1.1 103 x\r\nX : y\r\n\r\nHTTP/1.1 200 x\r\n" + wellFormedFields,
+	"two lengths":                       "HTTP/1.1 200 x\r\nContent-Length: 4\r\n" + wellFormedFields,
+	"a signed length":                   "HTTP/1.1 200 x\r\nId: a\r\nContent-Length: +5\r\n\r\nwhole",
+	"a negative length":                 "HTTP/1.1 200 x\r\nId: a\r\nContent-Length: -5\r\n\r\nwhole",
+	"an empty length":                   "HTTP/1.1 200 x\r\nId: a\r\nContent-Length:\r\n\r\nwhole",
+	"a list of lengths":                 "HTTP/1.1 200 x\r\nId: a\r\nContent-Length: 5, 5\r\n\r\nwhole",
+	"an unknown coding":                 "HTTP/1.1 200 x\r\nId: a\r\nTransfer-Encoding: gzip, chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"two codings":                       "HTTP/1.1 200 x\r\nId: a\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+}
+
+// A head with a line that is no field is no answer, wherever in the head it stands.
+func TestBadFieldIsNoAnswer(t *testing.T) {
+	for name, raw := range badFields {
+		t.Run(name, func(t *testing.T) { expectNoAnswer(t, raw) })
+	}
+}
--- a/exchanger/headrule.go
+++ b/exchanger/headrule.go
@@ -5,10 +5,13 @@
 	"net/http"
 
 	"github.com/pkg/errors"
+
+	"buckthorndrum/validator"
 )
 
 // headRule is the rule that the head of an answer keeps, with the interim answers before it.
-// It is stricter than http.ReadResponse, which reads a status such as 000.
+// It is stricter than http.ReadResponse, which reads a status such as 000, takes a name with a
+// blank for that of another field, and joins a line that begins with a blank to the one before.
 //
 // Source: RFC 9112, sections 2 to 6.
 type headRule struct {
@@ -23,7 +26,7 @@
 	case r.status == 0:
 		return false, r.readStatusLine(line)
 	case len(line) > 0:
-		return false, nil
+		return false, checkField(line)
 	}
 	interim := r.status < http.StatusOK && r.status != http.StatusSwitchingProtocols
 	*r = headRule{}
@@ -53,7 +56,7 @@
 	if n < minStatus || n > maxStatus {
 		return errors.Errorf("answer has the status %s, which is not from %d to %d", status, minStatus, maxStatus)
 	}
-	if !isText(reason) {
+	if !validator.IsFieldValue(reason) {
 		return errors.Errorf("reason %.40q of the answer has a control byte", reason)
 	}
 	r.status = n
@@ -62,12 +65,15 @@
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// isText reports whether b holds no control byte other than tabs.
-func isText(b []byte) bool {
-	for _, c := range b {
-		if c < ' ' && c != '\t' || c == '\x7f' {
-			return false
-		}
+// checkField checks the line of a header field. A line that begins with a blank is none: a
+// target must not fold a value, and what stands there may be a field whose name is broken.
+func checkField(line []byte) error {
+	name, value, ok := bytes.Cut(line, []byte(":"))
+	if !ok || !validator.IsFieldName(name) {
+		return errors.Errorf("answer has a header field with the name %.40q", name)
+	}
+	if !validator.IsFieldValue(value) {
+		return errors.Errorf("header field %.40q of the answer has a control byte", name)
 	}
-	return true
+	return nil
 }
--- a/forwarder/brokenanswers_test.go
+++ b/forwarder/brokenanswers_test.go
@@ -55,14 +55,20 @@
 	}
 }
 
-// raw sends bytes as they are and keeps the connection open until the router closes it.
+// raw sends bytes, with the id of the request for ID, and keeps the connection open for a
+// moment longer than the router may take to refuse them.
 func raw(format string) script {
 	return func(w net.Conn, r *http.Request) bool {
 		_, _ = io.WriteString(w, strings.ReplaceAll(format, "ID", r.Header.Get("Id")))
-		return true
+		_ = w.SetReadDeadline(time.Now().Add(maxRefusalTime))
+		_, _ = w.Read(make([]byte, 1))
+		return false
 	}
 }
 
+// maxRefusalTime is how long a router may take to notice that a head is no answer.
+const maxRefusalTime = 2 * time.Second
+
 // brokenHeads are answers to request ID whose head is none, by its fault. The body of some is
 // an answer of its own.
 var brokenHeads = map[string]string{
@@ -72,6 +78,14 @@
 	"status 000 and not run":    "HTTP/1.1 000 x\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
 	"HTTP/2.0 and not run":      "HTTP/2.0 503 x\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
 	"control byte in a reason":  "HTTP/1.1 200 \x01\r\nId: ID\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole",
+	"blank behind a name":       "HTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\nX-Load : 1\r\nContent-Length: 5\r\n\r\nwhole",
+	"blank in a name":           "HTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\nX Load: 1\r\nContent-Length: 5\r\n\r\nwhole",
+	"blank before a name":       "HTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\n X-Load: 1\r\nContent-Length: 5\r\n\r\nwhole",
+	"blank in the length":       "HTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\nConnection: close\r\nContent-Length : 5\r\n\r\nwhole and more",
+	"blank in the coding":       "HTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\nTransfer-Encoding : chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"blank and not run":         "HTTP/1.1 503 x\r\nId: ID\r\nNot-Run: 1\r\nX : y\r\nContent-Length: 0\r\n\r\n",
+	"control byte in a name":    "HTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\nX-\x01: 1\r\nContent-Length: 5\r\n\r\nwhole",
+	"control byte in a value":   "HTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\nX: \x01\r\nContent-Length: 5\r\n\r\nwhole",
 	"status behind interim one": "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 000 x\r\nId: ID\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole",
 }
 
@@ -87,7 +101,7 @@
 			g.Expect(a.status).To(Equal(http.StatusBadGateway))
 			g.Expect(a.body).To(ContainSubstring("no whole answer"))
 			g.Expect(a.header.Get("Seal")).To(BeEmpty())
-			g.Expect(time.Since(begun)).To(BeNumerically("<", 2*time.Second), "it does not wait for its time limit")
+			g.Expect(time.Since(begun)).To(BeNumerically("<", maxRefusalTime), "it does not wait for its time limit")
 			g.Expect(f.requestsSeen()).To(HaveLen(1))
 
 			brokenOnce := firstThen(raw(head), completeAnswer)
