exchanger: a head that contradicts itself about its end is no answer (MIXED)

What callers saw: an answer of HTTP/1.0 in chunks reached the caller with the sizes of the chunks as part of its body, since the coding is ignored there and the end of the connection was taken for the end (200, "5\r\nwhole\r\n0\r\n\r\n"). An answer with a length and in chunks was cut by the chunks, whatever the length said.

Cause: http.ReadResponse drops one of the two statements without a word.

Change: headRule refuses a transfer coding in HTTP/1.0 or beside a length (RFC 9112, sections 6.1 and 6.3: the framing is faulty). Which of the two the target meant can't be known, so that no body of such an answer is known to be whole.

--- a/exchanger/head_test.go
+++ b/exchanger/head_test.go
@@ -46,6 +46,7 @@
 func badHeads() map[string]string {
 	all := maps.Clone(badStatusLines)
 	maps.Copy(all, badFields)
+	maps.Copy(all, badFramings)
 	return all
 }
 
@@ -192,3 +193,27 @@
 		t.Run(name, func(t *testing.T) { expectNoAnswer(t, raw) })
 	}
 }
+
+// badFramings are heads that are no answers, as they don't say where the body ends.
+var badFramings = map[string]string{
+	"a coding in HTTP/1.0":           "HTTP/1.0 200 x\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"a coding and then a length":     "HTTP/1.1 200 x\r\nId: a\r\nTransfer-Encoding: chunked\r\nContent-Length: 15\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"a length and then a coding":     "HTTP/1.1 200 x\r\nId: a\r\ncontent-length: 5\r\nX: y\r\ntransfer-encoding: Chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"both behind an interim answer":  "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 200 x\r\nId: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"a coding in HTTP/1.0, a length": "HTTP/1.0 200 x\r\nId: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\nwhole",
+}
+
+// A head whose fields contradict each other about where the body ends is no answer.
+func TestBadFramingIsNoAnswer(t *testing.T) {
+	for name, raw := range badFramings {
+		t.Run(name, func(t *testing.T) { expectNoAnswer(t, raw) })
+	}
+}
+
+// An interim answer says nothing about the framing of the answer behind it.
+func TestFramingOfInterimAnswerIsItsOwn(t *testing.T) {
+	g := NewWithT(t)
+	body, complete := readAnswer([]byte("HTTP/1.1 103 x\r\nContent-Length: 3\r\n\r\nHTTP/1.1 200 x\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n"), 10)
+	g.Expect(complete).To(BeTrue())
+	g.Expect(body).To(Equal("whole"))
+}
--- a/exchanger/headrule.go
+++ b/exchanger/headrule.go
@@ -11,12 +11,18 @@
 
 // headRule is the rule that the head of an answer keeps, with the interim answers before it.
 // It is stricter than http.ReadResponse, which reads a status such as 000, takes a name with a
-// blank for that of another field, and joins a line that begins with a blank to the one before.
+// blank for that of another field, joins a line that begins with a blank to the one before, and
+// takes one of two contradictory statements of where the body ends.
 //
 // Source: RFC 9112, sections 2 to 6.
 type headRule struct {
-	// status is the status of the head, zero before its status line.
+	// status is the status of the head, zero before its status line, and http10 reports
+	// whether it is one of HTTP/1.0.
 	status int
+	http10 bool
+	// hasLength and hasCoding report whether the head states the length of the body, or a
+	// transfer coding such as chunks.
+	hasLength, hasCoding bool
 }
 
 // next checks the next line of a head, without its end. last reports whether it is the last
@@ -26,7 +32,9 @@
 	case r.status == 0:
 		return false, r.readStatusLine(line)
 	case len(line) > 0:
-		return false, checkField(line)
+		return false, r.readField(line)
+	case r.hasCoding && (r.hasLength || r.http10):
+		return false, errors.New("answer has a transfer coding beside a length or in HTTP/1.0")
 	}
 	interim := r.status < http.StatusOK && r.status != http.StatusSwitchingProtocols
 	*r = headRule{}
@@ -59,15 +67,15 @@
 	if !validator.IsFieldValue(reason) {
 		return errors.Errorf("reason %.40q of the answer has a control byte", reason)
 	}
-	r.status = n
+	r.status, r.http10 = n, bytes.Equal(version, []byte("HTTP/1.0"))
 	return nil
 }
 
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// checkField checks the line of a header field. A line that begins with a blank is none: a
+// readField reads the line of a header field. A line that begins with a blank is none: a
 // target must not fold a value, and what stands there may be a field whose name is broken.
-func checkField(line []byte) error {
+func (r *headRule) readField(line []byte) error {
 	name, value, ok := bytes.Cut(line, []byte(":"))
 	if !ok || !validator.IsFieldName(name) {
 		return errors.Errorf("answer has a header field with the name %.40q", name)
@@ -75,5 +83,7 @@
 	if !validator.IsFieldValue(value) {
 		return errors.Errorf("header field %.40q of the answer has a control byte", name)
 	}
+	r.hasLength = r.hasLength || bytes.EqualFold(name, []byte("Content-Length"))
+	r.hasCoding = r.hasCoding || bytes.EqualFold(name, []byte("Transfer-Encoding"))
 	return nil
 }
--- a/forwarder/brokenanswers_test.go
+++ b/forwarder/brokenanswers_test.go
@@ -86,6 +86,8 @@
 	"blank and not run":         "HTTP/1.1 503 x\r\nId: ID\r\nNot-Run: 1\r\nX : y\r\nContent-Length: 0\r\n\r\n",
 	"control byte in a name":    "HTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\nX-\x01: 1\r\nContent-Length: 5\r\n\r\nwhole",
 	"control byte in a value":   "HTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\nX: \x01\r\nContent-Length: 5\r\n\r\nwhole",
+	"chunks in HTTP/1.0":        "HTTP/1.0 200 x\r\nId: ID\r\nSeal: s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+	"chunks and a length":       "HTTP/1.1 200 x\r\nId: ID\r\nSeal: s\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nother\r\n0\r\n\r\n",
 	"status behind interim one": "HTTP/1.1 103 x\r\n\r\nHTTP/1.1 000 x\r\nId: ID\r\nSeal: s\r\nContent-Length: 5\r\n\r\nwhole",
 }
 
