--- /dev/null
+++ b/agent/brokenanswers_test.go
@@ -0,0 +1,131 @@
+package agent
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
+)
+
+// rawTarget starts a target that reads the head of the first request of each connection and
+// answers as answer does. It returns its URL.
+func rawTarget(t *testing.T, answer func(c *net.TCPConn, r *http.Request)) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = c.Close() }()
+				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+					answer(c.(*net.TCPConn), r)
+				}
+			}()
+		}
+	}()
+	return "http://" + l.Addr().String()
+}
+
+// sendRaw returns an answer that consists of some bytes and keeps the connection open for a
+// moment longer than an agent may take to refuse them.
+func sendRaw(raw string) func(*net.TCPConn, *http.Request) {
+	return func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, raw)
+		_ = c.SetReadDeadline(time.Now().Add(maxRefusalTime))
+		_, _ = c.Read(make([]byte, 1))
+	}
+}
+
+// maxRefusalTime is how long an agent may take to notice that a head is no answer.
+const maxRefusalTime = 2 * time.Second
+
+// runAt runs a call at the target of a client and returns the tokens, the status and the
+// error.
+func runAt(client targetClient, body string) (tokens []string, status int, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 3*maxRefusalTime)
+	defer cancel()
+	status, err = client.run(ctx, call{request: "r", path: "/x", body: []byte(body), maxTokens: 1}, func(token string) { tokens = append(tokens, token) })
+	return tokens, status, err
+}
+
+// A service resets the connection in the middle of an answer without a length while the call
+// is still being written: the part must not pass for the answer.
+func TestAnswerThatIsResetDuringTheCallIsNotWhole(t *testing.T) {
+	g := NewWithT(t)
+	url := rawTarget(t, func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
+		time.Sleep(10 * time.Millisecond)
+		_ = c.SetLinger(0)
+	})
+	s := &serviceClient{baseURL: url, client: newTargetClient()}
+	for range 20 {
+		tokens, _, err := runAt(s, strings.Repeat("x", 8<<20))
+		g.Expect(err).To(HaveOccurred(), "%q is a part of an answer", tokens)
+		g.Expect(errors.Is(err, errNotRun)).To(BeFalse())
+		g.Expect(tokens).To(BeEmpty())
+	}
+}
+
+// A service that ends its answer in good order before the call has been written is heard out.
+func TestAnswerThatEndsBeforeTheCallIsWhole(t *testing.T) {
+	g := NewWithT(t)
+	url := rawTarget(t, func(c *net.TCPConn, _ *http.Request) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
+		_ = c.CloseWrite()
+		_, _ = io.Copy(io.Discard, c)
+	})
+	s := &serviceClient{baseURL: url, client: newTargetClient()}
+	for range 5 {
+		tokens, status, err := runAt(s, strings.Repeat("x", 8<<20))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(status).To(Equal(http.StatusOK))
+		g.Expect(tokens).To(Equal([]string{"whole"}))
+	}
+}
+
+// What is no answer in the protocol is none for an agent, from a service or an engine, and
+// does not show that the call has not run.
+func TestBrokenHeadsAreNoAnswers(t *testing.T) {
+	const stream = "data: {\"index\":0,\"text\":\"a\"}\n\ndata: [DONE]\n\n"
+	for name, head := range map[string]string{
+		"status 000":              "HTTP/1.1 000 x\r\nContent-Length: LENGTH\r\n\r\nBODY",
+		"status 000, body":        "HTTP/1.1 000 x\r\nX: y\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: LENGTH\r\n\r\nBODY",
+		"status 999":              "HTTP/1.1 999 x\r\nContent-Length: LENGTH\r\n\r\nBODY",
+		"blank behind a name":     "HTTP/1.1 200 x\r\nX : y\r\nContent-Length: LENGTH\r\n\r\nBODY",
+		"blank before a name":     "HTTP/1.1 200 x\r\nX: y\r\n Content-Length: LENGTH\r\n\r\nBODY",
+		"control byte in a name":  "HTTP/1.1 200 x\r\nX\x01: y\r\nContent-Length: LENGTH\r\n\r\nBODY",
+		"chunks in HTTP/1.0":      "HTTP/1.0 200 x\r\nTransfer-Encoding: chunked\r\n\r\nBODY",
+		"409 with a broken field": "HTTP/1.1 409 x\r\nX Y: z\r\nContent-Length: LENGTH\r\n\r\nBODY",
+	} {
+		for kind, newClient := range map[string]func(url string) targetClient{
+			"service": func(url string) targetClient { return &serviceClient{baseURL: url, client: newTargetClient()} },
+			"engine":  func(url string) targetClient { return &engineClient{url, newTargetClient()} },
+		} {
+			t.Run(name+" from a "+kind, func(t *testing.T) {
+				g := NewWithT(t)
+				answer := strings.NewReplacer("LENGTH", fmt.Sprint(len(stream)), "BODY", stream).Replace(head)
+				begun := time.Now()
+				tokens, status, err := runAt(newClient(rawTarget(t, sendRaw(answer))), "{}")
+				g.Expect(err).To(HaveOccurred(), "status %d, tokens %q", status, tokens)
+				g.Expect(errors.Is(err, errNotRun)).To(BeFalse())
+				g.Expect(tokens).To(BeEmpty())
+				g.Expect(time.Since(begun)).To(BeNumerically("<", maxRefusalTime))
+			})
+		}
+	}
+}
--- a/agent/target.go
+++ b/agent/target.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 
+	"buckthorndrum/exchanger"
 	"buckthorndrum/identifier"
 )
 
@@ -69,7 +70,7 @@
 // newTargetClient returns the HTTP client for the target, which is on the same machine.
 // The transport does not repeat a POST that the target may have received.
 func newTargetClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout}}
+	return &http.Client{Transport: exchanger.NewTransport(&http.Transport{MaxIdleConnsPerHost: maxIdleConns, IdleConnTimeout: idleConnTimeout})}
 }
 
 const (
--- /dev/null
+++ b/exchanger/transport.go
@@ -0,0 +1,60 @@
+package exchanger
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+)
+
+// Transport is an http.Transport of HTTP/1.1 that reads answers as a Pool does: a head that is
+// malformed fails the exchange, and so does a body whose connection broke, also if the write of
+// the request was what met the failure. It keeps the rest of net/http: connections in use
+// again, retries of what may be repeated, contexts.
+type Transport struct {
+	base *http.Transport
+}
+
+// NewTransport returns a Transport with the settings of base, which must not be used
+// otherwise. Heads that come over TLS are not checked.
+func NewTransport(base *http.Transport) *Transport {
+	dial := base.DialContext
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	base.DialContext = func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newCheckedConn(c), nil
+	}
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if c, ok := info.Conn.(*checkedConn); ok {
+			c.heads.expect()
+		}
+	}}
+	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+}
+
+// CloseIdleConnections closes the connections that carry no request.
+func (t *Transport) CloseIdleConnections() { t.base.CloseIdleConnections() }
+
+// checkedConn is a connection whose reads check the heads that are expected.
+type checkedConn struct {
+	*answerConn
+	heads *headReader
+}
+
+func newCheckedConn(c net.Conn) *checkedConn {
+	ac := &answerConn{Conn: c}
+	return &checkedConn{answerConn: ac, heads: &headReader{r: ac}}
+}
+
+// Read implements net.Conn.
+func (c *checkedConn) Read(b []byte) (int, error) { return c.heads.Read(b) }
