agent: a service's answer beyond the limit is no answer

What callers saw: of a plain service's answer with more than 4 MiB they got the first 4 MiB, as done and complete.

Cause: the agent read the answer up to its limit and never asked whether it had ended.

Change: one byte more is read, and an answer that has it is an error; the request may have run, and its caller hears so.

Evidence: TestAnswerBeyondTheLimitIsNotWhole failed on the code before for an answer of 4 MiB + 1 byte. One of 4 MiB is passed on whole, as before.

--- a/agent/brokenanswers_test.go
+++ b/agent/brokenanswers_test.go
@@ -129,3 +129,23 @@
 		}
 	}
 }
+
+// An answer that is longer than an agent takes is none. Its beginning would look whole.
+func TestAnswerBeyondTheLimitIsNotWhole(t *testing.T) {
+	for _, tooLong := range []bool{false, true} {
+		t.Run(fmt.Sprint(tooLong), func(t *testing.T) {
+			g := NewWithT(t)
+			size := maxAnswerBytes
+			if tooLong {
+				size++
+			}
+			url := rawTarget(t, func(c *net.TCPConn, _ *http.Request) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
+			})
+			tokens, _, err := runAt(&serviceClient{baseURL: url, client: newTargetClient()}, "{}")
+			g.Expect(err != nil).To(Equal(tooLong))
+			g.Expect(len(tokens) == 0).To(Equal(tooLong))
+			g.Expect(errors.Is(err, errNotRun)).To(BeFalse())
+		})
+	}
+}
--- a/agent/target.go
+++ b/agent/target.go
@@ -78,8 +78,8 @@
 	maxIdleConns = 64
 	// idleConnTimeout is how long an idle connection is kept open.
 	idleConnTimeout = 30 * time.Second
-	// maxAnswerBytes is the maximum size of the answer of a plain service, in bytes. What
-	// exceeds it is cut off.
+	// maxAnswerBytes is the maximum size of the answer of a plain service, in bytes. A longer
+	// one is not passed on.
 	maxAnswerBytes = 4 << 20
 )
 
@@ -130,10 +130,13 @@
 		return 0, classifyCallError(err)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
 	if err != nil {
 		return 0, errors.Wrap(err, "read answer")
 	}
+	if len(raw) > maxAnswerBytes {
+		return 0, errors.Errorf("answer has more than %d bytes", maxAnswerBytes)
+	}
 	if endsWithConnection(resp) && refuses(ctx, r.URL.Host) {
 		return 0, errors.New("target ended with its answer, which has no length")
 	}
