agent: a stream that ends inside an event has broken off

What callers saw: an engine broke off its stream in the middle of an event. If the stream had neither a length nor chunks, the request ended as unknown, although the rest could have been read from the engine that still had it.

Cause: bufio.ScanLines passes a last line without an end on as a line. Its half JSON was an error of its own, not that of a stream that has broken off, which is resumed.

Change: such a line is left out, so that the stream counts as incomplete.

Evidence: TestStreamThatBreaksOffAnywhereIsResumed cuts a stream at each byte, with a length, in chunks and with neither. It failed on the code before ("6 bytes with neither", decode engine event); with a length and in chunks it held.

--- a/agent/brokenanswers_test.go
+++ b/agent/brokenanswers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -149,3 +150,33 @@
 		})
 	}
 }
+
+// An engine breaks its stream off at each byte in turn. What the stream lacks is read again,
+// and no half event is taken for a whole one or for the end.
+func TestStreamThatBreaksOffAnywhereIsResumed(t *testing.T) {
+	const event, end = "data: {\"index\":%d,\"text\":\"%c\"}\n\n", "data: [DONE]\n\n"
+	stream := func(from int) string {
+		s := ""
+		for i := from; i < 3; i++ {
+			s += fmt.Sprintf(event, i, 'a'+i)
+		}
+		return s + end
+	}
+	for length := range len(stream(0)) {
+		for framing, head := range map[string]string{"length": "Content-Length: LENGTH\r\n\r\n", "chunks": "Transfer-Encoding: chunked\r\n\r\nffff\r\n", "neither": "\r\n"} {
+			g := NewWithT(t)
+			url := rawTarget(t, func(c *net.TCPConn, r *http.Request) {
+				from, _ := strconv.Atoi(r.FormValue("from"))
+				whole := stream(from)
+				if r.Method != http.MethodPost {
+					_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(whole), whole)
+					return
+				}
+				_, _ = io.WriteString(c, "HTTP/1.1 200 x\r\n"+strings.ReplaceAll(head, "LENGTH", strconv.Itoa(len(whole)))+whole[:length])
+			})
+			tokens, _, err := runAt(&engineClient{url, newTargetClient()}, "{}")
+			g.Expect(err).NotTo(HaveOccurred(), "%d bytes with %s", length, framing)
+			g.Expect(tokens).To(Equal([]string{"a", "b", "c"}), "%d bytes with %s", length, framing)
+		}
+	}
+}
--- a/agent/target.go
+++ b/agent/target.go
@@ -230,6 +230,7 @@
 		return fmt.Errorf("engine answered with status %d", resp.StatusCode)
 	}
 	sc := bufio.NewScanner(resp.Body)
+	sc.Split(scanWholeLines)
 	for sc.Scan() {
 		data, ok := strings.CutPrefix(sc.Text(), "data: ")
 		if !ok {
@@ -245,6 +246,15 @@
 	return fmt.Errorf("%w after token %d: %w", errIncomplete, *next, errors.WithMessage(sc.Err(), "read stream"))
 }
 
+// scanWholeLines is a bufio.SplitFunc like bufio.ScanLines, but for a last line without an end,
+// in which a stream has broken off. It leaves that out.
+func scanWholeLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	if atEOF && !bytes.Contains(data, []byte("\n")) {
+		return len(data), nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 // doneMarker is the data of the last event of a complete stream.
 const doneMarker = "[DONE]"
 
