agent: an event of an engine without an index or a text is no token

What callers saw: an engine in trouble sent an event that is no token, such as {"error":"out of memory"} or null, as the first of its stream. The caller got an empty token in place of the first one, and an answer that was done and complete.

Cause: an index that is missing reads as 0, and a text as empty.

Change: a decoded event is checked: it has an index, not negative, and a text. Without them the request ends as unknown, as with an event that can't be decoded.

--- a/agent/brokenanswers_test.go
+++ b/agent/brokenanswers_test.go
@@ -180,3 +180,20 @@
 		}
 	}
 }
+
+// An event that lacks its index or its text is no token: an engine in trouble may send others.
+func TestEventWithoutTokenIsNone(t *testing.T) {
+	for _, data := range []string{"{}", "null", "[]", "0", "{\"error\":\"out of memory\"}", "{\"text\":\"a\"}", "{\"index\":0}", "{\"index\":null,\"text\":\"a\"}", "{\"index\":-1,\"text\":\"a\"}", "{\"index\":0,\"text\":\"a\"} x"} {
+		t.Run(data, func(t *testing.T) {
+			g := NewWithT(t)
+			body := "data: " + data + "\n\ndata: [DONE]\n\n"
+			url := rawTarget(t, func(c *net.TCPConn, _ *http.Request) {
+				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			})
+			tokens, _, err := runAt(&engineClient{url, newTargetClient()}, "{}")
+			g.Expect(err).To(HaveOccurred())
+			g.Expect(errors.Is(err, errNotRun)).To(BeFalse())
+			g.Expect(tokens).To(BeEmpty())
+		})
+	}
+}
--- a/agent/fuzz_test.go
+++ b/agent/fuzz_test.go
@@ -8,19 +8,21 @@
 	"buckthorndrum/placer"
 )
 
-// FuzzEvent checks that no event of an engine makes an answer skip or repeat a token.
+// FuzzEvent checks that no event of an engine makes an answer skip or repeat a token, and that
+// one without an index or a text is refused.
 func FuzzEvent(f *testing.F) {
 	f.Add(`{"index":2,"text":"x"}`, 2)
 	f.Add(`{"index":-1}`, 0)
+	f.Add(`{"error":"x"}`, 0)
 	f.Fuzz(func(t *testing.T, data string, at int) {
 		next := max(0, at)
 		before, seen := next, 0
 		err := handleEvent(data, &next, func(string) { seen++ })
 		var event streamEvent
-		if json.Unmarshal([]byte(data), &event) != nil && err == nil {
+		if (json.Unmarshal([]byte(data), &event) != nil || event.check() != nil) && err == nil {
 			t.Fatalf("malformed event %q was accepted", data)
 		}
-		if want := err == nil && event.Index == before; (seen == 1) != want || seen > 1 {
+		if want := err == nil && *event.Index == before; (seen == 1) != want || seen > 1 {
 			t.Fatalf("event %q at token %d was passed on %d times", data, before, seen)
 		}
 	})
--- a/agent/target.go
+++ b/agent/target.go
@@ -181,10 +181,19 @@
 	Adapter   identifier.Adapter `json:"adapter,omitempty"`
 }
 
-// streamEvent is one event of a stream: a token and its index in the answer.
+// streamEvent is one event of a stream: a token and its index in the answer. A decoded event
+// must be checked.
 type streamEvent struct {
-	Index int    `json:"index"`
-	Text  string `json:"text"`
+	Index *int    `json:"index"`
+	Text  *string `json:"text"`
+}
+
+// check returns an error if the event is not that of a token.
+func (e streamEvent) check() error {
+	if e.Index == nil || *e.Index < 0 || e.Text == nil {
+		return errors.New("engine event has no index or no text")
+	}
+	return nil
 }
 
 // maxResumes is the maximum number of times that one attempt resumes an incomplete
@@ -265,11 +274,14 @@
 	if err := json.Unmarshal([]byte(data), &event); err != nil {
 		return errors.Wrap(err, "decode engine event")
 	}
-	if event.Index > *next {
-		return fmt.Errorf("%w: engine skipped from token %d to %d", errIncomplete, *next, event.Index)
+	if err := event.check(); err != nil {
+		return err
+	}
+	if *event.Index > *next {
+		return fmt.Errorf("%w: engine skipped from token %d to %d", errIncomplete, *next, *event.Index)
 	}
-	if event.Index == *next {
-		onToken(event.Text)
+	if *event.Index == *next {
+		onToken(*event.Text)
 	}
 	return nil
 }
