--- a/exchanger/transport.go
+++ b/exchanger/transport.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"time"
 )
 
 // Transport is an http.Transport of HTTP/1.1 that reads answers as a Pool does: a head that is
@@ -32,6 +33,15 @@
 	return &Transport{base: base}
 }
 
+// clientIdleTimeout is how long a connection of NewClient stays open without a request.
+const clientIdleTimeout = 90 * time.Second
+
+// NewClient returns a client with a Transport. Timeout bounds a call with the reading of its
+// answer, zero for no bound.
+func NewClient(timeout time.Duration) *http.Client {
+	return &http.Client{Timeout: timeout, Transport: NewTransport(&http.Transport{Proxy: http.ProxyFromEnvironment, IdleConnTimeout: clientIdleTimeout})}
+}
+
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
--- a/lister/lister.go
+++ b/lister/lister.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"buckthorndrum/exchanger"
 )
 
 // State is what the platform says of an instance.
@@ -49,7 +51,7 @@
 
 // New returns a client of the list at base URL address.
 func New(address string, timeout time.Duration) *Client {
-	return &Client{url: address + "/v1/instances", http: &http.Client{Timeout: timeout}}
+	return &Client{url: address + "/v1/instances", http: exchanger.NewClient(timeout)}
 }
 
 // maxList bounds the list, in bytes.
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"buckthorndrum/exchanger"
 )
 
 // Version orders the writes of one key. Zero stands for an absent key.
@@ -52,7 +54,7 @@
 
 // New returns a client.
 func New(cfg Config) *Client {
-	return &Client{base: cfg.Address, http: &http.Client{Timeout: cfg.Timeout}}
+	return &Client{base: cfg.Address, http: exchanger.NewClient(cfg.Timeout)}
 }
 
 // Get reads a key.
