storer: an answer without an entry is a lost one

What callers saw, or could: the key-value service answered a write with 200 and null, {} or somebody else's entry. The router took the caller's key for claimed by this request (errors: none), and ran the request, whoever held the claim. Read, such an answer was an entry of version 0. A conflict at the very version that was expected, or without any entry, passed for one.

Cause: a missing field decodes to zero, and only the status was asked.

Change: an answer of 200 has a version, and that to a write the value written; a conflict names another version than the one expected.

--- a/storer/brokenanswers_test.go
+++ b/storer/brokenanswers_test.go
@@ -71,6 +71,15 @@
 		version Version
 		answer  string
 	}{
+		"empty":                     {0, answerOf(200, "")},
+		"null":                      {0, answerOf(200, "null")},
+		"no entry":                  {0, answerOf(200, "{}")},
+		"no version":                {0, answerOf(200, `{"value":"eA=="}`)},
+		"another value":             {0, answerOf(200, `{"value":"YQ==","version":3}`)},
+		"two entries":               {0, answerOf(200, written+written)},
+		"conflict without entry":    {0, answerOf(412, "{}")},
+		"conflict with an empty":    {0, answerOf(412, "null")},
+		"conflict at that version":  {3, answerOf(412, `{"value":"YQ==","version":3}`)},
 		"truncated":                 {0, "HTTP/1.1 200 x\r\n\r\n" + written[:len(written)-1]},
 		"truncated refusal":         {0, "HTTP/1.1 503 x\r\nContent-Length: 5\r\n\r\nbus"},
 		"status 000":                {0, strings.Replace(answerOf(200, written), "200", "000", 1)},
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -70,7 +70,12 @@
 	if ttl > 0 {
 		q.Set("ttl_ms", strconv.FormatInt(ttl.Milliseconds(), 10))
 	}
-	return c.call(ctx, http.MethodPut, key, q, value)
+	e, err := c.call(ctx, http.MethodPut, key, q, value)
+	written := err == nil
+	if conflict := errors.Is(err, ErrConflict); written && !bytes.Equal(e.Value, value) || conflict && e.Version == v {
+		return Entry{}, fmt.Errorf("%s %q: answer with version %d is none to this write: %w", http.MethodPut, key, e.Version, ErrLost)
+	}
+	return e, err
 }
 
 // Watch waits until the key is past version v, for at most wait, and returns
@@ -127,6 +132,9 @@
 		if resp.StatusCode == http.StatusPreconditionFailed {
 			return e, fmt.Errorf("%s %q: %w", method, key, ErrConflict)
 		}
+		if e.Version == 0 {
+			return Entry{}, fmt.Errorf("%s %q: answer has no entry: %w", method, key, ErrLost)
+		}
 		return e, nil
 	case http.StatusNotFound:
 		return Entry{}, fmt.Errorf("%s %q: %w", method, key, ErrAbsent)
