lister: a list with bytes behind it, or that breaks off behind it, is refused

What would have been seen: a list of instances whose answer broke off before its length, or had bytes behind the list that belong to no answer, was taken; "null" emptied the list.

Cause: json.Decoder reads the first value and no further.

Change: the answer is read to its end before it is decoded, and null is no list.

Evidence: TestBrokenListIsRefused failed on the code before ("the connection ended before the body", a list with x behind it).

--- a/lister/lister.go
+++ b/lister/lister.go
@@ -71,7 +71,16 @@
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Errorf("list instances: status %d from %s", resp.StatusCode, c.url)
 	}
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxList))
+	if err != nil {
+		return nil, errors.Wrap(err, "read instance list")
+	}
 	var is []Instance
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxList)).Decode(&is)
-	return is, errors.Wrap(err, "decode instance list")
+	if err := json.Unmarshal(raw, &is); err != nil {
+		return nil, errors.Wrap(err, "decode instance list")
+	}
+	if is == nil {
+		return nil, errors.New("answer is no instance list")
+	}
+	return is, nil
 }
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -55,6 +56,9 @@
 		"control byte":        "HTTP/1.1 200 x\r\nX\x01: y\r\n\r\n" + list,
 		"chunks in HTTP/1.0":  "HTTP/1.0 200 x\r\nTransfer-Encoding: chunked\r\n\r\n" + list,
 	}
+	for _, body := range []string{"null", list + list, list + "x", "{}", ""} {
+		broken[body] = fmt.Sprintf("HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
 	for length := range len(list) {
 		broken[fmt.Sprintf("%d bytes", length)] = "HTTP/1.1 200 x\r\n\r\n" + list[:length]
 	}
@@ -62,4 +66,6 @@
 		got, err := listFrom(t, answer)
 		NewWithT(t).Expect(err).To(HaveOccurred(), "%s: %v", name, got)
 	}
+	_, err := listFrom(t, "HTTP/1.1 200 x\r\nContent-Length: 500\r\n\r\n"+strings.Repeat(" ", 5)+"[]")
+	NewWithT(t).Expect(err).To(HaveOccurred(), "the connection ended before the body")
 }
