router, messenger: "not run" and "done" are told only where an agent's answer shows it

What callers could see: an answer of an agent that ended with an outcome that is none was told as 503, "The request did not run", though it may have run; a piece with a negative index counted as complete, with its tokens shifted. A refusal was passed on as it came: "not run" of the second attempt, although the first was lost and may have run, and "done" with an empty answer for a request without a key.

Cause: pieces and outcomes were not checked when decoded, and what is neither done nor unknown had the status of "not run". A refusal tells of one attempt only, unless it speaks of a key.

Change: Piece.Check and Outcome.Check; what fails them is read again from the agent, and is unknown in the end. "Not run" in a refusal holds for all attempts only with the step of a key, and "done" only with a key.

--- a/agent/handler.go
+++ b/agent/handler.go
@@ -69,7 +69,7 @@
 // Steps at which an agent rejects or ends a request.
 const (
 	stepDecode = "decode_handover"
-	stepKey    = "check_key"
+	stepKey    = messenger.StepKey
 	stepFind   = "find_answer"
 	stepQueue  = "wait_for_slot"
 	stepTarget = "run_at_target"
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -108,6 +108,14 @@
 	Unknown Outcome = "unknown"
 )
 
+// Check returns an error if the outcome is none of the three.
+func (o Outcome) Check() error {
+	if o != Done && o != NotRun && o != Unknown {
+		return fmt.Errorf("%.40q is no outcome", o)
+	}
+	return nil
+}
+
 // maxNameLength bounds names, in bytes, so that messages stay small.
 const maxNameLength = 64
 
--- a/messenger/answer.go
+++ b/messenger/answer.go
@@ -13,6 +13,10 @@
 // came with it is not run and goes back to the front of its queue.
 const StepGrant = "check_grant"
 
+// StepKey is the step with which an agent refuses a key. What it says of the request
+// holds for all attempts under that key.
+const StepKey = "check_key"
+
 // Handover is the request that a router hands to an agent under a grant, or
 // under a key alone when it is a repeat.
 type Handover struct {
@@ -64,6 +68,17 @@
 	End *End `cbor:"3,keyasint,omitempty"`
 }
 
+// Check reports the first fault of a decoded piece.
+func (p Piece) Check() error {
+	if p.Index < 0 {
+		return fmt.Errorf("piece begins at token %d", p.Index)
+	}
+	if p.End == nil {
+		return nil
+	}
+	return p.End.Outcome.Check()
+}
+
 // End is how a request ended at its agent.
 type End struct {
 	Outcome identifier.Outcome `cbor:"1,keyasint"`
--- a/router/call.go
+++ b/router/call.go
@@ -241,7 +241,7 @@
 	stepHandover = "hand_over"
 	stepStream   = "stream_answer"
 	stepClaim    = "claim_key"
-	stepKey      = "check_key"
+	stepKey      = messenger.StepKey
 	stepFetch    = "fetch_answer"
 )
 
--- a/router/fuzz_test.go
+++ b/router/fuzz_test.go
@@ -66,7 +66,7 @@
 }
 
 // FuzzPieces checks that no stream from an agent makes a caller's answer skip or repeat a
-// token, and that none counts as complete with tokens missing.
+// token, that none counts as complete with tokens missing, and that each ends with an outcome.
 func FuzzPieces(f *testing.F) {
 	var stream []byte
 	for _, p := range []messenger.Piece{{Tokens: []string{"a", "b"}}, {Index: 1, Tokens: []string{"b", "c"}}, {Index: 3, End: &messenger.End{Outcome: identifier.Done, Tokens: 3}}} {
@@ -92,5 +92,8 @@
 		if err == nil && end.Outcome == identifier.Done && end.Tokens != len(l.tokens) {
 			t.Fatalf("an answer of %d tokens counted as complete with %d", end.Tokens, len(l.tokens))
 		}
+		if err == nil && end.Outcome.Check() != nil {
+			t.Fatalf("an answer ended as %q", end.Outcome)
+		}
 	})
 }
--- a/router/handover.go
+++ b/router/handover.go
@@ -105,7 +105,7 @@
 // whether to retry it. Only a refusal of the grant is retried.
 func (r *Router) handleHandoverRefusal(c *call, resp *http.Response) (*result, bool) {
 	f := readFault(resp)
-	e := &result{Outcome: f.Outcome, Step: f.Step, Peer: string(c.agent.origin.Target), Detail: f.Detail, RetryAfter: time.Second}
+	e := &result{Outcome: c.refusedOutcome(f), Step: f.Step, Peer: string(c.agent.origin.Target), Detail: f.Detail, RetryAfter: time.Second}
 	if f.Step == messenger.StepGrant {
 		// The grant had expired, so the request goes back to the front of its queue.
 		e.grantExpired = true
@@ -115,6 +115,19 @@
 	return e, false
 }
 
+// refusedOutcome returns what a refusal tells of the whole request. That it has not run is true
+// of attempts before this one only if the agent says so of its key, and only a key can have run
+// before.
+func (c *call) refusedOutcome(f messenger.Fault) identifier.Outcome {
+	switch {
+	case f.Outcome == identifier.Done && c.key == nil:
+		return identifier.Unknown
+	case f.Outcome == identifier.NotRun && (c.key == nil || f.Step != messenger.StepKey):
+		return c.notRunOutcome()
+	}
+	return f.Outcome
+}
+
 // maxFaultBytes bounds an agent's refusal, in bytes.
 const maxFaultBytes = 64 << 10
 
@@ -123,16 +136,16 @@
 func readFault(resp *http.Response) messenger.Fault {
 	var f messenger.Fault
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxFaultBytes))
-	if err == nil && cbor.Unmarshal(raw, &f) == nil && f.Outcome != "" {
+	if err == nil && cbor.Unmarshal(raw, &f) == nil && f.Outcome.Check() == nil {
 		return f
 	}
 	return messenger.Fault{Outcome: identifier.Unknown, Step: stepHandover, Detail: fmt.Sprintf("agent answered with status %d", resp.StatusCode)}
 }
 
 // readAnswer reads the pieces of an answer from body until its end, and passes their
-// tokens to out. It returns an error if the stream is interrupted, tokens are missing, a
-// complete answer ends with another number of tokens than it reports, or the caller has
-// left. The tokens read so far stay in c.tokens.
+// tokens to out. It returns an error if the stream is interrupted, a piece is not valid,
+// tokens are missing, a complete answer ends with another number of tokens than it reports,
+// or the caller has left. The tokens read so far stay in c.tokens.
 func (r *Router) readAnswer(c *call, body io.Reader, out sink) (messenger.End, error) {
 	dec := cbor.NewDecoder(body)
 	for {
@@ -140,6 +153,9 @@
 		if err := dec.Decode(&p); err != nil {
 			return messenger.End{}, errors.Wrapf(err, "read answer after token %d", len(c.tokens))
 		}
+		if err := p.Check(); err != nil {
+			return messenger.End{}, errors.Wrapf(err, "check answer after token %d", len(c.tokens))
+		}
 		if err := r.handlePiece(c, p, out); err != nil {
 			return messenger.End{}, err
 		}
