router, messenger: a reply about a key that names no key is refused

What callers could see: an agent answered the minting of keys with null, or with no incarnation. Two callers got the same key then, so that the request of one was taken for a repeat of the other's, and one got the other's answer.

Cause: a missing field decodes to zero, and the reply was not checked.

Change: KeyReply.Check asks for an incarnation and a state.

--- a/messenger/answer.go
+++ b/messenger/answer.go
@@ -122,3 +122,12 @@
 	// run in a later incarnation of the agent.
 	Revives bool `cbor:"7,keyasint,omitempty"`
 }
+
+// Check reports the first fault of a decoded reply. Keys of incarnation zero would be
+// alike whichever agent minted them.
+func (r KeyReply) Check() error {
+	if r.Incarnation == 0 || r.State == "" {
+		return fmt.Errorf("reply about key %d has no incarnation or no state", r.Sequence)
+	}
+	return nil
+}
--- a/router/brokenanswers_test.go
+++ b/router/brokenanswers_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
@@ -13,6 +15,7 @@
 
 	"buckthorndrum/identifier"
 	"buckthorndrum/messenger"
+	"buckthorndrum/securer"
 	"buckthorndrum/signer"
 )
 
@@ -104,3 +107,38 @@
 		})
 	}
 }
+
+// A reply about a key that names no key is none: two callers would get the same key from two of
+// them.
+func TestReplyWithoutKeyIsRefused(t *testing.T) {
+	security, err := securer.New(securer.Config{Secret: "secret of the tests"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	sound := messenger.KeyReply{Sequence: 1, State: "fresh", Incarnation: 7}
+	for name, tc := range map[string]struct {
+		body  []byte
+		sound bool
+	}{
+		"sound":           {encoded(t, sound), true},
+		"empty":           {nil, false},
+		"an empty map":    {encoded(t, map[int]int{}), false},
+		"null":            {encoded(t, nil), false},
+		"no incarnation":  {encoded(t, messenger.KeyReply{Sequence: 1, State: "fresh"}), false},
+		"no state":        {encoded(t, messenger.KeyReply{Sequence: 1, Incarnation: 7}), false},
+		"half of it":      {encoded(t, sound)[:4], false},
+		"bytes behind it": {append(encoded(t, sound), 0xf6), false},
+		"two of them":     {encoded(t, sound, sound), false},
+		"a page":          {[]byte("<html></html>"), false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(tc.body) }))
+			defer agent.Close()
+			r, _ := newTestCall()
+			r.security, r.client = security, agent.Client()
+			rep, _, err := r.sendKeyRequest(context.Background(), http.MethodPost, agent.Listener.Addr().String(), "/keys", nil)
+			g.Expect(err == nil).To(Equal(tc.sound), "%+v", rep)
+		})
+	}
+}
--- a/router/keys.go
+++ b/router/keys.go
@@ -161,7 +161,7 @@
 const maxKeyReplyBytes = 64 << 10
 
 // sendKeyRequest sends a request about a key to the agent at address. It returns the
-// reply and the HTTP status. The reply is decoded only if the status is 200.
+// reply and the HTTP status. The reply is decoded and checked only if the status is 200.
 func (r *Router) sendKeyRequest(ctx context.Context, method, address, path string, body []byte) (messenger.KeyReply, int, error) {
 	var rep messenger.KeyReply
 	req, err := r.newAgentRequest(ctx, method, address, path, body)
@@ -177,10 +177,13 @@
 	if err != nil {
 		return rep, 0, errors.Wrap(err, "read answer about a key")
 	}
-	if resp.StatusCode == http.StatusOK {
-		err = errors.Wrap(cbor.Unmarshal(raw, &rep), "decode answer about a key")
+	if resp.StatusCode != http.StatusOK {
+		return rep, resp.StatusCode, nil
 	}
-	return rep, resp.StatusCode, err
+	if err := cbor.Unmarshal(raw, &rep); err != nil {
+		return rep, resp.StatusCode, errors.Wrap(err, "decode answer about a key")
+	}
+	return rep, resp.StatusCode, errors.Wrap(rep.Check(), "check answer about a key")
 }
 
 // agentAddress returns the address of the agent of target t, or false if the
