--- a/router/brokenanswers_test.go
+++ b/router/brokenanswers_test.go
@@ -1,10 +1,12 @@
 package router
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -13,6 +15,7 @@
 	"github.com/fxamacker/cbor/v2"
 	. "github.com/onsi/gomega"
 
+	"buckthorndrum/exchanger"
 	"buckthorndrum/identifier"
 	"buckthorndrum/messenger"
 	"buckthorndrum/securer"
@@ -142,3 +145,36 @@
 		})
 	}
 }
+
+// What is no answer doesn't tell a caller that its request is cancelled at another router.
+func TestBrokenAnswerToACancellationIsNone(t *testing.T) {
+	for answer, want := range map[string]bool{
+		"HTTP/1.1 204 x\r\n\r\n":                       true,
+		"HTTP/1.1 404 x\r\n\r\n":                       false,
+		"HTTP/1.1 204 x\r\nX : y\r\n\r\n":              false,
+		"HTTP/1.1 204 x\r\nX: y\r\n Z: y\r\n\r\n":      false,
+		"HTTP/2.0 204 x\r\n\r\n":                       false,
+		"HTTP/1.1 204 x\r\nX: y":                       false,
+		"HTTP/1.1 000 x\r\n\r\nHTTP/1.1 204 x\r\n\r\n": false,
+	} {
+		t.Run(answer, func(t *testing.T) {
+			l, err := net.Listen("tcp4", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = l.Close() }()
+			go func() {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				defer func() { _ = c.Close() }()
+				_, _ = http.ReadRequest(bufio.NewReader(c))
+				_, _ = io.WriteString(c, answer)
+			}()
+			r, _ := newTestCall()
+			r.peerClient = exchanger.NewClient(cancelTimeout)
+			NewWithT(t).Expect(r.cancelAtRouter(context.Background(), l.Addr().String(), "r-1-1", "")).To(Equal(want))
+		})
+	}
+}
--- a/router/fetch.go
+++ b/router/fetch.go
@@ -90,14 +90,20 @@
 	if !listed || owner == r.cfg.Name {
 		return false
 	}
-	callCtx, cancel := context.WithTimeout(ctx.Request().Context(), cancelTimeout)
+	return r.cancelAtRouter(ctx.Request().Context(), address, id, ctx.GetHeader("Authorization"))
+}
+
+// cancelAtRouter cancels a request at one router with the authorization of its caller, and
+// reports whether the router had it.
+func (r *Router) cancelAtRouter(ctx context.Context, address string, id identifier.Request, authorization string) bool {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	req, err := http.NewRequestWithContext(callCtx, http.MethodDelete, "http://"+address+"/v1/requests/"+url.PathEscape(string(id)), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, "http://"+address+"/v1/requests/"+url.PathEscape(string(id)), nil)
 	if err != nil {
 		return false
 	}
-	req.Header.Set("Authorization", ctx.GetHeader("Authorization"))
-	resp, err := http.DefaultClient.Do(req)
+	req.Header.Set("Authorization", authorization)
+	resp, err := r.peerClient.Do(req)
 	if err != nil {
 		return false
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -16,6 +16,7 @@
 	"golang.org/x/time/rate"
 
 	"buckthorndrum/configurator"
+	"buckthorndrum/exchanger"
 	"buckthorndrum/identifier"
 	"buckthorndrum/linker"
 	"buckthorndrum/messenger"
@@ -43,9 +44,11 @@
 	log         *zap.Logger
 	traffic     linker.Traffic
 	metrics     *metrics
-	// client makes the HTTP calls to agents, and dialer opens the WebSocket links.
-	client *http.Client
-	dialer linker.Dialer
+	// client makes the HTTP calls to agents, peerClient those to other routers, and dialer
+	// opens the WebSocket links.
+	client     *http.Client
+	peerClient *http.Client
+	dialer     linker.Dialer
 	// claimLimiter limits how many keys per second are claimed through this router.
 	claimLimiter *rate.Limiter
 	server       *http.Server
@@ -123,6 +126,7 @@
 		serveDone:    make(chan struct{}),
 		log:          cfg.Log.Named("router").With(zap.String("router", string(cfg.Name))),
 		client:       security.Client(),
+		peerClient:   exchanger.NewClient(cancelTimeout),
 		claimLimiter: rate.NewLimiter(0, 1),
 		address:      address,
 		done:         make(chan struct{}),
