forwarder: "not run" is told only if the target says so (REFUSED)

What callers could see: a target answered 408, 429 or 503 without saying that it did not run the request, and the router passed the answer on. These statuses promise the caller that its request has not run and never will, so that it sends a payout again that may have run.

Cause: an answer without the statement was an answer like any other.

Change: such an answer is dropped: the request may have run. It is sent again if it may be, and otherwise its caller gets a 502 of the router, which promises nothing. With the statement all is as before, and so is what the answer says of pauses and limits.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -36,20 +36,9 @@
 	}
 	info := f.cfg.Dialect.ReadAnswer(a.Status, a.Header)
 	f.applyNotice(t, info)
-	if info.NotRun || info.Misdirected {
-		f.discardAnswer(t, a)
-		result = admitter.Answered
-		if info.Misdirected {
-			result = admitter.ConnectionFailed
-		}
-		return false, f.afterNotRun(c, t)
-	}
-	c.mayHaveRun = true
-	c.runs++
-	if a.Status < http.StatusMultipleChoices && !info.Genuine {
-		a.Abort()
-		result = admitter.Failed
-		return false, f.checkRetry(c, t, "answer is not the target's")
+	if r, e, dropped := f.dropAnswer(c, t, a, info); dropped {
+		result = r
+		return false, e
 	}
 	result, e = f.relayAnswer(ctx, c, t, a)
 	done = e == nil && result != resultRetry
@@ -65,6 +54,41 @@
 	return done, e
 }
 
+// dropAnswer handles an answer that is not passed on: the target did not run the request, the
+// answer is not the target's, or its status promises what the target does not say. dropped is
+// false for all others. If e is nil, the request may be sent again.
+func (f *Forwarder) dropAnswer(c *call, t *selectedTarget, a *exchanger.Answer, info AnswerInfo) (result admitter.Result, e *errorAnswer, dropped bool) {
+	if info.Misdirected {
+		f.discardAnswer(t, a)
+		return admitter.ConnectionFailed, f.afterNotRun(c, t), true
+	}
+	if info.NotRun {
+		f.discardAnswer(t, a)
+		return admitter.Answered, f.afterNotRun(c, t), true
+	}
+	c.mayHaveRun = true
+	c.runs++
+	switch {
+	case a.Status < http.StatusMultipleChoices && !info.Genuine:
+		a.Abort()
+		return admitter.Failed, f.checkRetry(c, t, "answer is not the target's"), true
+	case promisesNotRun(a.Status):
+		f.discardAnswer(t, a)
+		result = admitter.Answered
+		if a.Status >= http.StatusInternalServerError {
+			result = admitter.Failed
+		}
+		return result, f.checkRetry(c, t, "target does not say whether it ran"), true
+	}
+	return admitter.Inconclusive, nil, false
+}
+
+// promisesNotRun reports whether a status tells a caller that its request has not run. A target
+// that answers with it must say so besides, as it may use the status for other purposes.
+func promisesNotRun(status int) bool {
+	return status == http.StatusRequestTimeout || status == http.StatusTooManyRequests || status == http.StatusServiceUnavailable
+}
+
 // recordCompleted records that the caller of a request has received a complete answer.
 func (f *Forwarder) recordCompleted(c *call) {
 	f.recordDuration(clocker.Coarse(), c)
--- a/forwarder/brokenanswers_test.go
+++ b/forwarder/brokenanswers_test.go
@@ -114,3 +114,33 @@
 		})
 	}
 }
+
+// The statuses 408, 429 and 503 promise a caller that its request has not run. They are passed
+// on only from a target that says so itself; without that the request may have run.
+func TestPromiseOfNotRunIsPassedOnOnlyIfItIsStated(t *testing.T) {
+	for _, status := range []int{http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable} {
+		for name, header := range map[string]string{"sealed": "Seal: s\r\n", "not sealed": ""} {
+			t.Run(fmt.Sprint(status, " ", name), func(t *testing.T) {
+				g := NewWithT(t)
+				silent := fixedAnswer(status, header, "busy")
+				f := newFleet(t, silent, silent)
+				a := f.send(f.request(http.MethodPost, "/ticket/1", "x"))
+				g.Expect(a.status).To(Equal(http.StatusBadGateway))
+				g.Expect(a.header.Get("Seal")).To(BeEmpty())
+				g.Expect(f.requestsSeen()).To(HaveLen(1), "it may have run")
+				a = f.send(f.request(http.MethodGet, "/lookup/1", ""))
+				g.Expect(a.status).To(Equal(http.StatusBadGateway))
+
+				stated := fixedAnswer(status, header+"Not-Run: 1\r\n", "busy")
+				f = newFleet(t, stated, stated)
+				a = f.send(f.request(http.MethodPost, "/ticket/1", "x"))
+				g.Expect(a.status).To(Equal(http.StatusServiceUnavailable))
+				g.Expect(f.requestsSeen()).To(HaveLen(2))
+
+				silentOnce := firstThen(silent, completeAnswer)
+				f = newFleet(t, silentOnce, silentOnce)
+				g.Expect(f.send(f.request(http.MethodGet, "/lookup/1", "")).status).To(Equal(http.StatusOK))
+			})
+		}
+	}
+}
