agent: a report of an engine that is none changes nothing

What would have been seen: an engine in trouble answered the question for its load with null, {} or an error as JSON, or broke off behind it. The agent took that for a load of zero and granted what the engine had no room for; callers would have waited for it.

Cause: a missing field decodes to zero, and json.Decoder reads the first value and no further.

Change: reports are read to their end, and a load has to name its batch.

Evidence: TestBrokenReportOfAnEngineIsRefused, which cuts a report at each byte, with a length and without, failed on the code before ("null", {}, an error).

--- a/agent/brokenanswers_test.go
+++ b/agent/brokenanswers_test.go
@@ -197,3 +197,22 @@
 		})
 	}
 }
+
+// A report of an engine that breaks off, is none, or lacks the size of the batch changes
+// nothing: as a load of zero it would have the agent grant what the engine has no room for.
+func TestBrokenReportOfAnEngineIsRefused(t *testing.T) {
+	const report = `{"batch":3,"model":"m","adapters":[],"loading":false,"fence":7}`
+	bodies := map[string]bool{report: true, `{"batch":0}`: true, "null": false, "{}": false, `{"model":"m"}`: false, `{"error":"x"}`: false, "": false, report + "x": false, report + report: false}
+	for length := range len(report) {
+		bodies[report[:length]] = false
+	}
+	for body, sound := range bodies {
+		for framing, head := range map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)), "neither": "\r\n"} {
+			url := rawTarget(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, "HTTP/1.1 200 x\r\n"+head+body) })
+			a := &Agent{cfg: Config{TargetURL: url}, client: newTargetClient(), ctx: context.Background()}
+			var l engineLoad
+			err := a.callEngine(http.MethodGet, "/v1/load", nil, &l)
+			NewWithT(t).Expect(err == nil && l.check() == nil).To(Equal(sound), "%q with %s", body, framing)
+		}
+	}
+}
--- a/agent/reports.go
+++ b/agent/reports.go
@@ -28,12 +28,21 @@
 	maxReportBytes = 1 << 20
 )
 
-// engineLoad is an engine's report of its load, which lags behind.
+// engineLoad is an engine's report of its load, which lags behind. A decoded report must be
+// checked.
 type engineLoad struct {
-	Batch int `json:"batch"`
+	Batch *int `json:"batch"`
 	placer.EngineState
 }
 
+// check returns an error if the report does not name the size of the batch.
+func (l engineLoad) check() error {
+	if l.Batch == nil || *l.Batch < 0 {
+		return errors.New("engine load names no batch")
+	}
+	return nil
+}
+
 // cacheEvent reports that an engine has cached or evicted a prompt prefix.
 type cacheEvent struct {
 	Sequence uint64            `json:"sequence"`
@@ -80,9 +89,12 @@
 	if err := a.callEngine(http.MethodGet, "/v1/load", nil, &l); err != nil {
 		return err
 	}
+	if err := l.check(); err != nil {
+		return err
+	}
 	a.state.mu.Lock()
 	defer a.state.mu.Unlock()
-	a.apply(a.state.sched.ReportBatch(now(), l.Batch))
+	a.apply(a.state.sched.ReportBatch(now(), *l.Batch))
 	if a.state.placer != nil {
 		a.state.placer.UpdateEngine(now(), l.EngineState)
 		a.tickPlacer()
@@ -135,5 +147,9 @@
 	if out == nil {
 		return nil
 	}
-	return errors.Wrapf(json.NewDecoder(io.LimitReader(resp.Body, maxReportBytes)).Decode(out), "decode %s", path)
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxReportBytes))
+	if err != nil {
+		return errors.Wrapf(err, "read answer of %s", path)
+	}
+	return errors.Wrapf(json.Unmarshal(answer, out), "decode %s", path)
 }
