--- a/cmd/buckthorndrum/client.go
+++ b/cmd/buckthorndrum/client.go
@@ -9,15 +9,20 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"buckthorndrum/exchanger"
 )
 
 // client calls a router.
 type client struct {
 	url   string
 	token string
+	http  *http.Client
 }
 
-func newClient(url, token string) *client { return &client{strings.TrimSuffix(url, "/"), token} }
+func newClient(url, token string) *client {
+	return &client{strings.TrimSuffix(url, "/"), token, exchanger.NewClient(0)}
+}
 
 // do makes a call and returns the response if its status is below 300.
 func (c *client) do(ctx context.Context, method, path string, body []byte, header map[string]string) (*http.Response, error) {
@@ -29,7 +34,7 @@
 	for k, v := range header {
 		r.Header.Set(k, v)
 	}
-	resp, err := http.DefaultClient.Do(r)
+	resp, err := c.http.Do(r)
 	if err != nil {
 		return nil, errors.Wrapf(err, "%s %s", method, path)
 	}
