exchanger, forwarder, agent: tests of broken answers assert no timing

The stand-ins keep the connection open, so that a router that waited for its time limit would answer 504 and an agent would run into its context. Without bounds of two seconds the tests hold beside load, too.

--- a/agent/brokenanswers_test.go
+++ b/agent/brokenanswers_test.go
@@ -42,23 +42,22 @@
 	return "http://" + l.Addr().String()
 }
 
-// sendRaw returns an answer that consists of some bytes and keeps the connection open for a
-// moment longer than an agent may take to refuse them.
+// sendRaw returns an answer that consists of some bytes, behind which the connection stays open.
 func sendRaw(raw string) func(*net.TCPConn, *http.Request) {
 	return func(c *net.TCPConn, _ *http.Request) {
 		_, _ = io.WriteString(c, raw)
-		_ = c.SetReadDeadline(time.Now().Add(maxRefusalTime))
-		_, _ = c.Read(make([]byte, 1))
+		_, _ = io.Copy(io.Discard, c)
 	}
 }
 
-// maxRefusalTime is how long an agent may take to notice that a head is no answer.
-const maxRefusalTime = 2 * time.Second
+// maxRefusalTime bounds the time that a broken answer is waited for, and is not the bound at
+// which it is refused.
+const maxRefusalTime = 10 * time.Second
 
 // runAt runs a call at the target of a client and returns the tokens, the status and the
 // error.
 func runAt(client targetClient, body string) (tokens []string, status int, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 3*maxRefusalTime)
+	ctx, cancel := context.WithTimeout(context.Background(), maxRefusalTime)
 	defer cancel()
 	status, err = client.run(ctx, call{request: "r", path: "/x", body: []byte(body), maxTokens: 1}, func(token string) { tokens = append(tokens, token) })
 	return tokens, status, err
@@ -120,12 +119,11 @@
 			t.Run(name+" from a "+kind, func(t *testing.T) {
 				g := NewWithT(t)
 				answer := strings.NewReplacer("LENGTH", fmt.Sprint(len(stream)), "BODY", stream).Replace(head)
-				begun := time.Now()
 				tokens, status, err := runAt(newClient(rawTarget(t, sendRaw(answer))), "{}")
 				g.Expect(err).To(HaveOccurred(), "status %d, tokens %q", status, tokens)
 				g.Expect(errors.Is(err, errNotRun)).To(BeFalse())
 				g.Expect(tokens).To(BeEmpty())
-				g.Expect(time.Since(begun)).To(BeNumerically("<", maxRefusalTime))
+				g.Expect(errors.Is(err, context.DeadlineExceeded)).To(BeFalse(), "it is refused at once")
 			})
 		}
 	}
--- a/exchanger/head_test.go
+++ b/exchanger/head_test.go
@@ -61,6 +61,10 @@
 	}
 }
 
+// maxRefusalTime bounds the time that a broken answer is waited for, and is not the bound at which
+// it is refused.
+const maxRefusalTime = 10 * time.Second
+
 // expectNoAnswer checks that raw is refused at once, though the connection stays open, that
 // the request counts as sent, and that no answer that follows raw is taken for its own.
 func expectNoAnswer(t *testing.T, raw string) {
@@ -69,7 +73,7 @@
 	for _, tail := range []string{"", answerText("a", "not the target's answer")} {
 		s := newTarget(t, sendOnly(raw+tail))
 		p := newPool()
-		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+		ctx, cancel := context.WithTimeout(context.Background(), maxRefusalTime)
 		a, err := p.Do(ctx, getCall(s.Addr().String(), "a"))
 		if err == nil {
 			body, _ := io.ReadAll(a.Body)
--- a/exchanger/transport_test.go
+++ b/exchanger/transport_test.go
@@ -9,15 +9,15 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/pkg/errors"
 )
 
 // post sends a request with a body through a Transport and returns the answer's status, its
 // header and its body.
 func post(rt http.RoundTripper, address, body string) (status int, header http.Header, answer string, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), maxRefusalTime)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address, strings.NewReader(body))
 	if err != nil {
@@ -58,10 +58,9 @@
 					g.Expect(status).To(Equal(http.StatusOK))
 					g.Expect(body).To(Equal("sound"))
 				}
-				begun := time.Now()
 				status, header, body, err := post(rt, s.Addr().String(), "x")
 				g.Expect(err).To(HaveOccurred(), "status %d, header %q, body %q", status, header, body)
-				g.Expect(time.Since(begun)).To(BeNumerically("<", time.Second))
+				g.Expect(errors.Is(err, context.DeadlineExceeded)).To(BeFalse(), "it is refused at once")
 				g.Expect(s.conns.Load()).To(BeEquivalentTo(1), "it is not sent again")
 			}
 		})
--- a/forwarder/brokenanswers_test.go
+++ b/forwarder/brokenanswers_test.go
@@ -55,20 +55,14 @@
 	}
 }
 
-// raw sends bytes, with the id of the request for ID, and keeps the connection open for a
-// moment longer than the router may take to refuse them.
+// raw sends bytes, with the id of the request for ID, and keeps the connection open.
 func raw(format string) script {
 	return func(w net.Conn, r *http.Request) bool {
 		_, _ = io.WriteString(w, strings.ReplaceAll(format, "ID", r.Header.Get("Id")))
-		_ = w.SetReadDeadline(time.Now().Add(maxRefusalTime))
-		_, _ = w.Read(make([]byte, 1))
-		return false
+		return true
 	}
 }
 
-// maxRefusalTime is how long a router may take to notice that a head is no answer.
-const maxRefusalTime = 2 * time.Second
-
 // brokenHeads are answers to request ID whose head is none, by its fault. The body of some is
 // an answer of its own.
 var brokenHeads = map[string]string{
@@ -98,12 +92,10 @@
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
 			f := newFleet(t, raw(head))
-			begun := time.Now()
 			a := f.send(f.request(http.MethodPost, "/ticket/1", "x"))
-			g.Expect(a.status).To(Equal(http.StatusBadGateway))
+			g.Expect(a.status).To(Equal(http.StatusBadGateway), "its time limit would be 504")
 			g.Expect(a.body).To(ContainSubstring("no whole answer"))
 			g.Expect(a.header.Get("Seal")).To(BeEmpty())
-			g.Expect(time.Since(begun)).To(BeNumerically("<", maxRefusalTime), "it does not wait for its time limit")
 			g.Expect(f.requestsSeen()).To(HaveLen(1))
 
 			brokenOnce := firstThen(raw(head), completeAnswer)
