--- a/agent/brokenanswers_test.go
+++ b/agent/brokenanswers_test.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -14,41 +13,9 @@
 
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
-)
 
-// rawTarget starts a target that reads the head of the first request of each connection and
-// answers as answer does. It returns its URL.
-func rawTarget(t *testing.T, answer func(c *net.TCPConn, r *http.Request)) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					answer(c.(*net.TCPConn), r)
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
-
-// sendRaw returns an answer that consists of some bytes, behind which the connection stays open.
-func sendRaw(raw string) func(*net.TCPConn, *http.Request) {
-	return func(c *net.TCPConn, _ *http.Request) {
-		_, _ = io.WriteString(c, raw)
-		_, _ = io.Copy(io.Discard, c)
-	}
-}
+	"buckthorndrum/mangler"
+)
 
 // maxRefusalTime bounds the time that a broken answer is waited for, and is not the bound at
 // which it is refused.
@@ -67,7 +34,7 @@
 // is still being written: the part must not pass for the answer.
 func TestAnswerThatIsResetDuringTheCallIsNotWhole(t *testing.T) {
 	g := NewWithT(t)
-	url := rawTarget(t, func(c *net.TCPConn, _ *http.Request) {
+	url := "http://" + mangler.Serve(t, func(c *net.TCPConn, _ *http.Request) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\npart")
 		time.Sleep(10 * time.Millisecond)
 		_ = c.SetLinger(0)
@@ -84,7 +51,7 @@
 // A service that ends its answer in good order before the call has been written is heard out.
 func TestAnswerThatEndsBeforeTheCallIsWhole(t *testing.T) {
 	g := NewWithT(t)
-	url := rawTarget(t, func(c *net.TCPConn, _ *http.Request) {
+	url := "http://" + mangler.Serve(t, func(c *net.TCPConn, _ *http.Request) {
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nwhole")
 		_ = c.CloseWrite()
 		_, _ = io.Copy(io.Discard, c)
@@ -119,7 +86,7 @@
 			t.Run(name+" from a "+kind, func(t *testing.T) {
 				g := NewWithT(t)
 				answer := strings.NewReplacer("LENGTH", fmt.Sprint(len(stream)), "BODY", stream).Replace(head)
-				tokens, status, err := runAt(newClient(rawTarget(t, sendRaw(answer))), "{}")
+				tokens, status, err := runAt(newClient("http://"+mangler.Serve(t, mangler.SendAndHold(answer))), "{}")
 				g.Expect(err).To(HaveOccurred(), "status %d, tokens %q", status, tokens)
 				g.Expect(errors.Is(err, errNotRun)).To(BeFalse())
 				g.Expect(tokens).To(BeEmpty())
@@ -138,7 +105,7 @@
 			if tooLong {
 				size++
 			}
-			url := rawTarget(t, func(c *net.TCPConn, _ *http.Request) {
+			url := "http://" + mangler.Serve(t, func(c *net.TCPConn, _ *http.Request) {
 				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", size, strings.Repeat("x", size))
 			})
 			tokens, _, err := runAt(&serviceClient{baseURL: url, client: newTargetClient()}, "{}")
@@ -163,7 +130,7 @@
 	for length := range len(stream(0)) {
 		for framing, head := range map[string]string{"length": "Content-Length: LENGTH\r\n\r\n", "chunks": "Transfer-Encoding: chunked\r\n\r\nffff\r\n", "neither": "\r\n"} {
 			g := NewWithT(t)
-			url := rawTarget(t, func(c *net.TCPConn, r *http.Request) {
+			url := "http://" + mangler.Serve(t, func(c *net.TCPConn, r *http.Request) {
 				from, _ := strconv.Atoi(r.FormValue("from"))
 				whole := stream(from)
 				if r.Method != http.MethodPost {
@@ -185,7 +152,7 @@
 		t.Run(data, func(t *testing.T) {
 			g := NewWithT(t)
 			body := "data: " + data + "\n\ndata: [DONE]\n\n"
-			url := rawTarget(t, func(c *net.TCPConn, _ *http.Request) {
+			url := "http://" + mangler.Serve(t, func(c *net.TCPConn, _ *http.Request) {
 				_, _ = fmt.Fprintf(c, "HTTP/1.1 200 x\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 			})
 			tokens, _, err := runAt(&engineClient{url, newTargetClient()}, "{}")
@@ -206,7 +173,7 @@
 	}
 	for body, sound := range bodies {
 		for framing, head := range map[string]string{"length": fmt.Sprintf("Content-Length: %d\r\n\r\n", len(body)), "neither": "\r\n"} {
-			url := rawTarget(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, "HTTP/1.1 200 x\r\n"+head+body) })
+			url := "http://" + mangler.Serve(t, func(c *net.TCPConn, _ *http.Request) { _, _ = io.WriteString(c, "HTTP/1.1 200 x\r\n"+head+body) })
 			a := &Agent{cfg: Config{TargetURL: url}, client: newTargetClient(), ctx: context.Background()}
 			var l engineLoad
 			err := a.callEngine(http.MethodGet, "/v1/load", nil, &l)
--- a/agent/target.go
+++ b/agent/target.go
@@ -255,8 +255,8 @@
 	return fmt.Errorf("%w after token %d: %w", errIncomplete, *next, errors.WithMessage(sc.Err(), "read stream"))
 }
 
-// scanWholeLines is a bufio.SplitFunc like bufio.ScanLines, but for a last line without an end,
-// in which a stream has broken off. It leaves that out.
+// scanWholeLines is a bufio.SplitFunc like bufio.ScanLines, but leaves out a last line without
+// an end, in which a stream has broken off.
 func scanWholeLines(data []byte, atEOF bool) (advance int, line []byte, err error) {
 	if atEOF && !bytes.Contains(data, []byte("\n")) {
 		return len(data), nil, nil
--- a/cmd/buckthorndrum/client_test.go
+++ b/cmd/buckthorndrum/client_test.go
@@ -1,14 +1,12 @@
 package main
 
 import (
-	"bufio"
 	"bytes"
 	"context"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
+
+	"buckthorndrum/mangler"
 )
 
 // What is no answer is none for the operator's commands: it does not print as the configuration
@@ -23,22 +21,9 @@
 		"HTTP/1.0 200 x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n": exitFailure,
 	} {
 		t.Run(answer, func(t *testing.T) {
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
-				_, _ = http.ReadRequest(bufio.NewReader(c))
-				_, _ = io.WriteString(c, answer)
-			}()
+			address := mangler.Serve(t, mangler.Send(answer))
 			var out, errOut bytes.Buffer
-			got := run(context.Background(), strings.Fields("config get -url http://"+l.Addr().String()), &out, &errOut)
+			got := run(context.Background(), strings.Fields("config get -url http://"+address), &out, &errOut)
 			if got != code {
 				t.Errorf("exit code %d, want %d; printed %q and %q", got, code, out.String(), errOut.String())
 			}
--- a/lister/lister_test.go
+++ b/lister/lister_test.go
@@ -1,17 +1,15 @@
 package lister
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
+
+	"buckthorndrum/mangler"
 )
 
 const list = `[{"role":"router","name":"r1","address":"127.0.0.1:1","state":"live"}]`
@@ -20,22 +18,7 @@
 // connection.
 func listFrom(t *testing.T, answer string) ([]Instance, error) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer func() { _ = l.Close() }()
-	go func() {
-		c, err := l.Accept()
-		if err != nil {
-			return
-		}
-		defer func() { _ = c.Close() }()
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.WriteString(c, answer)
-		}
-	}()
-	return New("http://"+l.Addr().String(), 2*time.Second).List(context.Background())
+	return New("http://"+mangler.Serve(t, mangler.Send(answer)), 2*time.Second).List(context.Background())
 }
 
 func TestListIsRead(t *testing.T) {
--- a/router/brokenanswers_test.go
+++ b/router/brokenanswers_test.go
@@ -1,12 +1,10 @@
 package router
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -17,6 +15,7 @@
 
 	"buckthorndrum/exchanger"
 	"buckthorndrum/identifier"
+	"buckthorndrum/mangler"
 	"buckthorndrum/messenger"
 	"buckthorndrum/securer"
 	"buckthorndrum/signer"
@@ -158,23 +157,10 @@
 		"HTTP/1.1 000 x\r\n\r\nHTTP/1.1 204 x\r\n\r\n": false,
 	} {
 		t.Run(answer, func(t *testing.T) {
-			l, err := net.Listen("tcp4", "127.0.0.1:0")
-			if err != nil {
-				t.Fatal(err)
-			}
-			defer func() { _ = l.Close() }()
-			go func() {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				defer func() { _ = c.Close() }()
-				_, _ = http.ReadRequest(bufio.NewReader(c))
-				_, _ = io.WriteString(c, answer)
-			}()
+			address := mangler.Serve(t, mangler.Send(answer))
 			r, _ := newTestCall()
 			r.peerClient = exchanger.NewClient(cancelTimeout)
-			NewWithT(t).Expect(r.cancelAtRouter(context.Background(), l.Addr().String(), "r-1-1", "")).To(Equal(want))
+			NewWithT(t).Expect(r.cancelAtRouter(context.Background(), address, "r-1-1", "")).To(Equal(want))
 		})
 	}
 }
--- a/router/handover.go
+++ b/router/handover.go
@@ -115,9 +115,9 @@
 	return e, false
 }
 
-// refusedOutcome returns what a refusal tells of the whole request. That it has not run is true
-// of attempts before this one only if the agent says so of its key, and only a key can have run
-// before.
+// refusedOutcome returns what a refusal tells of the whole request, with its earlier attempts. That
+// it has not run holds for these only if the agent says so of its key. That it is done is known
+// only of a key, which may have run before.
 func (c *call) refusedOutcome(f messenger.Fault) identifier.Outcome {
 	switch {
 	case f.Outcome == identifier.Done && c.key == nil:
--- a/storer/brokenanswers_test.go
+++ b/storer/brokenanswers_test.go
@@ -1,50 +1,22 @@
 package storer
 
 import (
-	"bufio"
 	"context"
 	"fmt"
-	"io"
-	"net"
-	"net/http"
 	"strings"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 	"github.com/pkg/errors"
-)
 
-// rawService answers each call with some bytes and closes its connection. It returns its URL.
-func rawService(t *testing.T, answer string) string {
-	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer func() { _ = c.Close() }()
-				if r, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-					_, _ = io.Copy(io.Discard, r.Body)
-					_, _ = io.WriteString(c, answer)
-				}
-			}()
-		}
-	}()
-	return "http://" + l.Addr().String()
-}
+	"buckthorndrum/mangler"
+)
 
 // swap writes "x" for a key that is at version v, at a service that answers with some bytes.
 func swap(t *testing.T, v Version, answer string) error {
 	t.Helper()
-	c := New(Config{Address: rawService(t, answer), Timeout: 2 * time.Second})
+	c := New(Config{Address: "http://" + mangler.Serve(t, mangler.Send(answer)), Timeout: 2 * time.Second})
 	_, err := c.Swap(context.Background(), "k", []byte("x"), v, 0)
 	return err
 }
--- a/storer/storer.go
+++ b/storer/storer.go
@@ -71,9 +71,11 @@
 		q.Set("ttl_ms", strconv.FormatInt(ttl.Milliseconds(), 10))
 	}
 	e, err := c.call(ctx, http.MethodPut, key, q, value)
-	written := err == nil
-	if conflict := errors.Is(err, ErrConflict); written && !bytes.Equal(e.Value, value) || conflict && e.Version == v {
-		return Entry{}, fmt.Errorf("%s %q: answer with version %d is none to this write: %w", http.MethodPut, key, e.Version, ErrLost)
+	switch {
+	case err == nil && !bytes.Equal(e.Value, value):
+		return Entry{}, fmt.Errorf("%s %q: answer has another value than the one written: %w", http.MethodPut, key, ErrLost)
+	case errors.Is(err, ErrConflict) && e.Version == v:
+		return Entry{}, fmt.Errorf("%s %q: answer has a conflict at the expected version %d: %w", http.MethodPut, key, v, ErrLost)
 	}
 	return e, err
 }
