forwarder, docs: the log says why an answer was dropped; what the faults of answers mean

An answer whose status promises what its target does not say left no trace but the 502. Its line has the status now as its fault, which explain prints. Tests of forwarder and explainer green.

--- a/forwarder/attempt.go
+++ b/forwarder/attempt.go
@@ -73,6 +73,7 @@
 		a.Abort()
 		return admitter.Failed, f.checkRetry(c, t, "answer is not the target's"), true
 	case promisesNotRun(a.Status):
+		c.recordConnError(errors.Errorf("answer has the status %d and does not say whether it ran", a.Status))
 		f.discardAnswer(t, a)
 		result = admitter.Answered
 		if a.Status >= http.StatusInternalServerError {
