exchanger: a trailer with a malformed name breaks the answer off

What callers saw: the answer as whole. Nothing of a trailer is passed on, but the bytes behind the body were none in the protocol, and the connection was used again.

Cause: http.ReadResponse takes names with blanks in a trailer, as in a head.

Change: the body of an answer in chunks asks for the names of the trailer before it ends, in the pool and in Transport.

--- a/exchanger/conn.go
+++ b/exchanger/conn.go
@@ -159,6 +159,7 @@
 			return nil, err
 		}
 		if resp.StatusCode >= http.StatusOK {
+			checkTrailer(resp)
 			return resp, nil
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
--- a/exchanger/head_test.go
+++ b/exchanger/head_test.go
@@ -221,3 +221,19 @@
 	g.Expect(complete).To(BeTrue())
 	g.Expect(body).To(Equal("whole"))
 }
+
+// A trailer with a line that is no field is no part of an answer: the answer has broken off.
+func TestBadTrailerBreaksTheAnswerOff(t *testing.T) {
+	for trailer, complete := range map[string]bool{
+		"": true, "X: y\r\n": true, "X: y\r\nZ:\r\n": true,
+		"X : y\r\n": false, "X Y: z\r\n": false, " X: y\r\n": false, "X\x01: y\r\n": false, "X: \x01\r\n": false, "XY\r\n": false, ": y\r\n": false,
+	} {
+		raw := "HTTP/1.1 200 x\r\nId: a\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n" + trailer + "\r\n"
+		for _, size := range []int{1, 7, len(raw)} {
+			body, got := readAnswer([]byte(raw), size)
+			if got != complete || complete && body != "whole" {
+				t.Errorf("with the trailer %q, in pieces of %d bytes, it is complete: %v", trailer, size, got)
+			}
+		}
+	}
+}
--- a/exchanger/transport.go
+++ b/exchanger/transport.go
@@ -49,7 +49,11 @@
 			c.heads.expect()
 		}
 	}}
-	return t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	resp, err := t.base.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err == nil {
+		checkTrailer(resp)
+	}
+	return resp, err
 }
 
 // CloseIdleConnections closes the connections that carry no request.
