--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -47,6 +47,8 @@
 	// retryGranted is set when the next attempt has already been taken from the retry
 	// budget.
 	retryGranted bool
+	// electedFor is the undecided part that this request tries, zero if it tries none.
+	electedFor isolator.Part
 	// memory is the memory reserved for the request's body and answer.
 	memory reservation
 	// stream is the state of the answer's stream, nil before its first event.
@@ -195,8 +197,10 @@
 	}
 	f.countRequest(now, pool)
 	f.recordDemand(now, c)
+	release := f.awaitTrial(ctx, c)
 	for {
 		t, e := f.selectTarget(c)
+		release()
 		if e != nil {
 			return e
 		}
@@ -251,8 +255,9 @@
 	// outcome is how the run ended. It is Ended until more is known.
 	outcome isolator.Outcome
 	// progressAt is when the progress of the answer was last recorded, at first that of its
-	// first event.
+	// first event. progressed is set once it was recorded.
 	progressAt identifier.Instant
+	progressed bool
 	// events measures the time between the events of the answer.
 	events eventTimer
 	// askedPause is set when the target's answer asks for a pause.
--- a/forwarder/crash.go
+++ b/forwarder/crash.go
@@ -94,13 +94,17 @@
 		return
 	}
 	now := clocker.Coarse()
+	interval := isolator.ProgressInterval
+	if !t.progressed {
+		interval = isolator.FirstProgress
+	}
 	if t.progressAt == 0 {
 		t.progressAt = now
 	}
-	if now.Sub(t.progressAt) < isolator.ProgressInterval {
+	if now.Sub(t.progressAt) < interval {
 		return
 	}
-	t.progressAt = now
+	t.progressAt, t.progressed = now, true
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
 	f.state.isolator.RecordProgress(now, t.run)
--- a/forwarder/crash_test.go
+++ b/forwarder/crash_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -123,6 +124,42 @@
 	g.Expect(f.requestsSeen()).To(HaveLen(parts))
 }
 
+// Against review/11: after all targets had ended in one moment, each request with a beginning
+// that all prompts share was denied for a day. One is tried, and once it is answered all are
+// served.
+func TestTargetsThatEndAtOnceDenyNobody(t *testing.T) {
+	const targets, callers = 9, 8
+	g := NewWithT(t)
+	answer := events(2, true, "")
+	f := newFleet(t, answer, answer, answer)
+	f.state.mu.Lock()
+	now := clocker.Now()
+	for n := range isolator.CrashID(targets) {
+		f.state.isolator.StartRun(now, 100+n, "w", []isolator.Part{1})
+	}
+	for n := range isolator.CrashID(targets) {
+		f.state.isolator.RecordCrash(now, 100+n)
+	}
+	f.state.mu.Unlock()
+	var wait sync.WaitGroup
+	var served, refused atomic.Int64
+	for n := range callers {
+		wait.Go(func() {
+			switch a := f.send(f.prompt(fmt.Sprintf("1,5,%d", 90+n))); a.status {
+			case http.StatusOK:
+				served.Add(1)
+			case http.StatusServiceUnavailable:
+				refused.Add(1)
+			default:
+				t.Errorf("request %d: status %d, %s", n, a.status, a.body)
+			}
+		})
+	}
+	wait.Wait()
+	g.Expect([]int64{served.Load(), refused.Load()}).To(Equal([]int64{1, callers - 1}), "one request is tried")
+	g.Expect(f.send(f.prompt("1,5,99")).status).To(Equal(http.StatusOK))
+}
+
 // endingLate sends events for a while and then ends the target.
 func endingLate(l net.Listener) script {
 	const (
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -148,7 +148,7 @@
 	}
 	f := &Forwarder{
 		cfg:            cfg,
-		state:          newState(cfg.Tunables),
+		state:          newState(cfg),
 		conns:          exchanger.New(exchanger.Config{DialTimeout: dialTimeout, AckTimeout: ackTimeout, MaxIdle: maxIdlePerTarget, MaxConns: cfg.MaxTargetConns, Identify: cfg.Identify}),
 		log:            cfg.Log.Named("forwarder"),
 		callers:        acceptor.NewConnTracker(cfg.MaxCallers),
--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -35,7 +35,7 @@
 		return 0, &errorAnswer{status: http.StatusBadRequest, reason: "Targets crash under a part of this prompt: " + partName(v.Part) + "."}
 	case v.State == isolator.Clear:
 		return 0, nil
-	case c.attempts > 0 || f.state.isolator.InTrial(v.Part):
+	case c.attempts > 0 || f.state.isolator.InTrial(v.Part) || v.State == isolator.Undecided && !v.Granted && c.electedFor != v.Part:
 		return 0, &errorAnswer{status: http.StatusServiceUnavailable, reason: "A part of this prompt is suspected of crashing targets and being tried: " + partName(v.Part) + ".", retryAfter: trialRetryAfter}
 	}
 	return uint64(v.Part), nil
@@ -93,6 +93,29 @@
 	f.state.isolator.RemoveBlock(now, p)
 }
 
+// WronglyStoredBlocks returns the parts whose blocks were lifted and are in the store.
+func (f *Forwarder) WronglyStoredBlocks() []isolator.Part {
+	f.state.mu.Lock()
+	defer f.state.mu.Unlock()
+	return f.state.isolator.WronglyStored()
+}
+
+// RetrialsDue returns the blocks in the store of which a router is to send one request more.
+func (f *Forwarder) RetrialsDue(now identifier.Instant) []isolator.Block {
+	f.state.mu.Lock()
+	defer f.state.mu.Unlock()
+	return f.state.isolator.RetrialsDue(now)
+}
+
+// SetRetried records that one request with a blocked part is sent, by this router if here is
+// true.
+func (f *Forwarder) SetRetried(p isolator.Part, here bool) {
+	f.log.Info("blocked part is tried once more", zap.String("part", partName(p)), zap.Bool("here", here))
+	f.state.mu.Lock()
+	defer f.state.mu.Unlock()
+	f.state.isolator.SetRetried(p, here)
+}
+
 // UnstoredBlocks returns the blocks that are not in the store as they are now.
 func (f *Forwarder) UnstoredBlocks() []isolator.Block {
 	f.state.mu.Lock()
--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -60,7 +60,7 @@
 	maxPeers int
 }
 
-func newState(t Tunables) *state {
+func newState(cfg Config) *state {
 	b := &state{
 		admitter:        admitter.New(),
 		sharer:          sharer.New(),
@@ -69,13 +69,14 @@
 		malformedPauses: map[identifier.Target]bool{},
 		limits:          map[identifier.Target]namedLimit{},
 		malformedColds:  map[identifier.Target]bool{},
-		isolator:        isolator.New(),
+		isolator:        isolator.NewRanked(isolator.HashRouter(cfg.Name)),
 		fleetSizes:      fleetSizes{memory: fleetMemory},
 		warmUpFleet:     fleetSizes{memory: warmUpFleetMemory},
 		crashChecks:     map[isolator.CrashID]*crashCheck{},
 	}
 	b.admitter.SetProcesses(defaultFleetSize)
 	b.admitter.SetSeed(rand.Uint64())
+	t := cfg.Tunables
 	b.tunables.Store(&t)
 	return b
 }
--- a/isolator/block.go
+++ b/isolator/block.go
@@ -10,6 +10,10 @@
 const (
 	// BlockTTL is how long a part stays blocked.
 	BlockTTL = 24 * time.Hour
+	// retrialAfter is how long after its first decision a block is tried once more, by one
+	// router for all. Blocked parts are not sent, so that nothing else would show that the
+	// decision was wrong.
+	retrialAfter = time.Minute
 	// settleAfter is how long after its first decision a block is withdrawn if reports of
 	// other routers show that another part explains the crashes.
 	settleAfter = 2 * time.Second
@@ -31,6 +35,9 @@
 	stored int
 	// settled is whether the block stays, whatever else is learned about the crashes.
 	settled bool
+	// mayRetry is whether this router may send one request with the part, and retried
+	// whether a router may or might.
+	mayRetry, retried bool
 }
 
 // applies reports whether the part is blocked for a workspace.
@@ -85,9 +92,10 @@
 	}
 }
 
-// AddStored adds a block that is in the store.
+// AddStored adds a block that is in the store. One that was lifted since is ignored.
 func (i *Isolator) AddStored(now identifier.Instant, b Block) {
-	if now.Sub(b.Since) > BlockTTL {
+	lifted, was := i.lifted[b.Part]
+	if now.Sub(b.Since) > BlockTTL || was && b.Since <= lifted {
 		return
 	}
 	b.stored, b.settled = len(b.Workspaces), true
@@ -111,8 +119,10 @@
 	}
 }
 
-// RemoveBlock lifts the block of a part. Crashes up to now no longer count against it.
+// RemoveBlock lifts the block of a part, which is not in the store. Crashes up to now no
+// longer count against it.
 func (i *Isolator) RemoveBlock(now identifier.Instant, p Part) {
+	delete(i.unstore, p)
 	if _, blocked := i.blocks[p]; !blocked {
 		return
 	}
@@ -121,6 +131,48 @@
 	i.dirty = true
 }
 
+// liftAnswered lifts the block of a part that was answered since it was blocked: targets do
+// not crash under it.
+func (i *Isolator) liftAnswered(now identifier.Instant, p Part) {
+	b, answered := i.blocks[p], i.lastAnswer(p)
+	if b == nil || answered == 0 || answered <= b.Since {
+		return
+	}
+	i.RemoveBlock(now, p)
+	if b.stored > 0 {
+		i.unstore[p] = struct{}{}
+	}
+}
+
+// WronglyStored returns the parts whose blocks were lifted and are in the store.
+func (i *Isolator) WronglyStored() []Part {
+	var list []Part
+	for p := range i.unstore {
+		list = append(list, p)
+	}
+	return list
+}
+
+// RetrialsDue returns the stored blocks that are to be tried once more, unless a router has
+// done so.
+func (i *Isolator) RetrialsDue(now identifier.Instant) []Block {
+	var list []Block
+	for _, b := range i.Blocks() {
+		if b.stored > 0 && !b.retried && now.Sub(b.Since) > retrialAfter {
+			list = append(list, b)
+		}
+	}
+	return list
+}
+
+// SetRetried records that the block of a part is tried once more, by this router or another
+// one. Only this router may send one request with the part, and only once.
+func (i *Isolator) SetRetried(p Part, here bool) {
+	if b := i.blocks[p]; b != nil && !b.retried {
+		b.retried, b.mayRetry = true, here
+	}
+}
+
 // expireBlocks lifts the blocks that are older than BlockTTL.
 func (i *Isolator) expireBlocks(now identifier.Instant) {
 	for p, b := range i.blocks {
--- a/isolator/coincidence_test.go
+++ b/isolator/coincidence_test.go
@@ -15,7 +15,7 @@
 	g := NewWithT(t)
 	i := New()
 	now := second
-	for n := range blockAfterAtOnce - 1 {
+	for n := range blockAfterRepeated - 1 {
 		now = now.Add(1400 * time.Millisecond)
 		crashWith(i, now, NewCrashID(TargetHash(1), uint32(n)), []Part{shared, other})
 	}
@@ -27,7 +27,7 @@
 	g := NewWithT(t)
 	i := New()
 	now := second
-	for n := range blockAfterAtOnce {
+	for n := range blockAfterRepeated {
 		now = now.Add(4 * time.Second)
 		crashWith(i, now, NewCrashID(TargetHash(1), uint32(n)), []Part{bad})
 	}
@@ -53,7 +53,7 @@
 	g := NewWithT(t)
 	i := New()
 	now := second
-	for n := range blockAfterAtOnce {
+	for n := range blockAfterRepeated {
 		g.Expect(state(i, now, bad)).NotTo(Equal(Blocked), "after %d crashes", n)
 		now = now.Add(time.Second)
 		for k := range 2 {
@@ -97,13 +97,14 @@
 
 // caller sends streams with a part of its own, one after the other.
 func (s *simulation) caller(w identifier.Workspace, p Part) {
-	r := s.start(w, false, 1, p)
 	again := func() { s.after(simulatedPause, func() { s.caller(w, p) }) }
-	if r == nil {
-		again()
-		return
-	}
-	s.after(time.Duration(s.rng.Int64N(int64(simulatedFirst))), func() { s.deliver(r, simulatedStream, again) })
+	s.start(w, false, func(r *simulatedRun) {
+		if r == nil {
+			again()
+			return
+		}
+		s.after(time.Duration(s.rng.Int64N(int64(simulatedFirst))), func() { s.deliver(r, simulatedStream, again) })
+	}, 1, p)
 }
 
 // deliver delivers the rest of a stream and calls done at its end.
@@ -114,10 +115,10 @@
 	case rest <= 0:
 		s.answer(r)
 		done()
+	case rest == simulatedStream:
+		s.after(FirstProgress, func() { s.deliver(r, rest-FirstProgress, done) })
 	default:
-		if rest < simulatedStream {
-			r.router.RecordProgress(s.now, r.run)
-		}
+		r.router.RecordProgress(s.now, r.run)
 		s.after(ProgressInterval, func() { s.deliver(r, rest-ProgressInterval, done) })
 	}
 }
--- a/isolator/fleet_test.go
+++ b/isolator/fleet_test.go
@@ -23,8 +23,10 @@
 	events  eventQueue
 	routers []*Isolator
 	// reports holds the last report of each router that reached the hubs.
-	reports  []Report
-	interval time.Duration
+	reports []Report
+	// reportedAt is when these were made.
+	reportedAt []identifier.Instant
+	interval   time.Duration
 	// restartedAt is when targets are back, zero for those that run. incarnations counts
 	// their crashes.
 	restartedAt  []identifier.Instant
@@ -71,9 +73,9 @@
 	s := &simulation{rng: rand.New(rand.NewPCG(seed, 1)), now: second, downFor: simulatedDown}
 	s.interval = min(max(time.Duration(routers)*3*time.Millisecond, 50*time.Millisecond), 300*time.Millisecond)
 	s.restartedAt, s.incarnations = make([]identifier.Instant, targets), make([]int, targets)
-	s.reports = make([]Report, routers)
+	s.reports, s.reportedAt = make([]Report, routers), make([]identifier.Instant, routers)
 	for n := range routers {
-		s.routers = append(s.routers, New())
+		s.routers = append(s.routers, NewRanked(HashRouter(identifier.Router(fmt.Sprint("r", n)))))
 		s.after(time.Duration(s.rng.Int64N(int64(s.interval))), func() { s.report(n) })
 	}
 	s.after(s.interval, s.tell)
@@ -92,7 +94,7 @@
 		s.maxBytes = max(s.maxBytes, len(raw))
 	}
 	if s.rng.Float64() > simulatedLoss {
-		s.reports[n] = r
+		s.reports[n], s.reportedAt[n] = r, s.now
 	}
 	s.after(s.interval, func() { s.report(n) })
 }
@@ -100,8 +102,8 @@
 // tell sends the total of all reports to all routers, and goes on.
 func (s *simulation) tell() {
 	var total Report
-	for _, r := range s.reports {
-		total.Add(r)
+	for n, r := range s.reports {
+		total.Add(r.Aged(s.now.Sub(s.reportedAt[n])))
 	}
 	if raw, err := cbor.Marshal(total); err == nil {
 		s.maxBytes = max(s.maxBytes, len(raw))
@@ -141,26 +143,56 @@
 
 // request sends a request with the given parts from a random router.
 func (s *simulation) request(w identifier.Workspace, bad bool, parts ...Part) {
-	r := s.start(w, bad, parts...)
-	switch {
-	case r == nil:
-	case bad:
-		s.after(100*time.Millisecond, func() { s.crash(r.target, r.incarnation) })
-	default:
-		s.after(500*time.Millisecond+time.Duration(s.rng.Int64N(int64(2*time.Second))), func() { s.answer(r) })
-	}
+	s.start(w, bad, func(r *simulatedRun) {
+		switch {
+		case r == nil:
+		case bad:
+			s.after(100*time.Millisecond, func() { s.crash(r.target, r.incarnation) })
+		default:
+			s.after(500*time.Millisecond+time.Duration(s.rng.Int64N(int64(2*time.Second))), func() { s.answer(r) })
+		}
+	}, parts...)
 }
 
-// start sends a request with the given parts from a random router. It returns nil if the
-// request was refused.
-func (s *simulation) start(w identifier.Workspace, bad bool, parts ...Part) *simulatedRun {
+// simulatedHoldCheck is how often a router looks whether it may send a request that it holds.
+const simulatedHoldCheck = 50 * time.Millisecond
+
+// start sends a request with the given parts from a random router, at once or after it was
+// held, and calls then with its run, nil if it was refused.
+func (s *simulation) start(w identifier.Workspace, bad bool, then func(*simulatedRun), parts ...Part) {
 	router := s.routers[s.rng.IntN(len(s.routers))]
+	v := router.Judge(s.now, w, parts)
+	if v.State != Undecided || !router.Hold(s.now, v.Part) {
+		then(s.send(router, w, bad, 0, parts))
+		return
+	}
+	end := s.now.Add(MaxHold)
+	var check func()
+	check = func() {
+		if now := router.Judge(s.now, w, parts); now.State == Undecided && now.Part == v.Part && !router.IsElected(s.now, v.Part) && s.now < end {
+			s.after(simulatedHoldCheck, check)
+			return
+		}
+		elected := Part(0)
+		if router.IsElected(s.now, v.Part) {
+			elected = v.Part
+		}
+		r := s.send(router, w, bad, elected, parts)
+		router.Release(v.Part)
+		then(r)
+	}
+	check()
+}
+
+// send sends a request, which tries the part elected if that is not zero. It returns nil if
+// the request was refused.
+func (s *simulation) send(router *Isolator, w identifier.Workspace, bad bool, elected Part, parts []Part) *simulatedRun {
 	v := router.Judge(s.now, w, parts)
 	target := s.rng.IntN(len(s.restartedAt))
-	if v.State == Suspected {
+	if v.State != Clear {
 		target = s.trialTarget(router, v.Part)
 	}
-	refused := v.State == Blocked || v.State == Suspected && router.InTrial(v.Part)
+	refused := v.State == Blocked || v.State != Clear && router.InTrial(v.Part) || v.State == Undecided && v.Part != elected
 	if !bad && refused {
 		s.soundRefused++
 	}
--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -16,14 +16,21 @@
 	// sameCause is the time between two crashes up to which they count once, since one
 	// fault of a data centre may end many targets. The crash of a trial counts nevertheless.
 	sameCause = 250 * time.Millisecond
+	// sameOutage is the time between two crashes up to which one outage may have led to both.
+	sameOutage = 500 * time.Millisecond
 	// blockAfter is the number of crashes after which a part is blocked that was never
 	// answered, and blockAnsweredAfter that for a part that was answered before.
 	blockAfter         = 3
 	blockAnsweredAfter = 4
-	// blockAfterAtOnce is the number of crashes after which a part is blocked even if they
-	// may have the same cause or are of the same target. Requests with the same rare part
-	// run at few targets.
-	blockAfterAtOnce = 5
+	// blockAfterRepeated is the number of crashes at different times after which a part is
+	// blocked even if they are of the same target. Requests with the same rare part run at
+	// few targets.
+	blockAfterRepeated = 5
+	// undecidedAfter is the number of crashes, whatever their time and target, after which
+	// a part is undecided. It is blocked after undecidedTrials trials that crash their
+	// targets alone, as one may be a coincidence too.
+	undecidedAfter  = 5
+	undecidedTrials = 2
 	// suspectAnsweredAfter is the number of crashes after which a part is suspected that
 	// was answered before. A part that was never answered is suspected after the first.
 	suspectAnsweredAfter = 2
@@ -43,6 +50,11 @@
 	// Suspected means that requests with the part are run one at a time and apart from
 	// each other.
 	Suspected
+	// Undecided means that as many targets have crashed under the part as block it, but at
+	// so few moments that they may have one cause outside the prompt. Requests with it are
+	// run as with Suspected, and only from one router: each run of a part that does crash
+	// targets is one too many by now.
+	Undecided
 	// Blocked means that no request with the part is sent.
 	Blocked
 )
@@ -54,6 +66,9 @@
 	// against it. Both are zero if State is Clear.
 	Part    Part
 	Crashes int
+	// Granted is whether this router alone may try an undecided part, as its block is tried
+	// once more.
+	Granted bool
 }
 
 // crash is one crash of a target.
@@ -80,6 +95,8 @@
 	blocks map[Part]*Block
 	// lifted holds when blocks were lifted. Crashes before that do not count.
 	lifted map[Part]identifier.Instant
+	// unstore holds the parts whose blocks were lifted and are in the store.
+	unstore map[Part]struct{}
 	// pending holds the parts that were blocked since the last call of NewBlocks.
 	pending []Block
 	// judgements holds the suspects, valid while dirty is false. It never holds a part
@@ -88,6 +105,16 @@
 	dirty      bool
 	// runs holds the runs of this router by the incarnation of their target.
 	runs map[CrashID]map[*Run]struct{}
+	// rank identifies this router among its peers. held holds since when it has held requests
+	// with undecided parts, and candidates the first router that does, as its peers told.
+	rank       Rank
+	held       map[Part]identifier.Instant
+	candidates map[Part]candidacy
+	// tried holds when this router last began or ended a trial of an undecided part.
+	tried map[Part]identifier.Instant
+	// undecided holds when parts were last found undecided. They stay so until they are
+	// answered or blocked, though later crashes crowd out those that showed it.
+	undecided map[Part]identifier.Instant
 	// trials counts this router's runs with a suspected part.
 	trials map[Part]int
 	// changedAt is when the crashes last changed, and reportedAt when they were last
@@ -96,32 +123,67 @@
 	reportedAt identifier.Instant
 }
 
-// New returns an isolator that knows nothing.
-func New() *Isolator {
+// New returns an isolator that knows nothing, of a router without peers.
+func New() *Isolator { return NewRanked(0) }
+
+// NewRanked returns an isolator that knows nothing, of a router with a rank among its peers.
+func NewRanked(rank Rank) *Isolator {
 	return &Isolator{
-		crashes: map[CrashID]*crash{}, peers: map[Part]identifier.Instant{}, blocks: map[Part]*Block{}, lifted: map[Part]identifier.Instant{},
+		rank: rank, held: map[Part]identifier.Instant{}, candidates: map[Part]candidacy{}, tried: map[Part]identifier.Instant{}, undecided: map[Part]identifier.Instant{},
+		crashes: map[CrashID]*crash{}, peers: map[Part]identifier.Instant{}, blocks: map[Part]*Block{}, lifted: map[Part]identifier.Instant{}, unstore: map[Part]struct{}{},
 		judgements: map[Part]judgement{}, runs: map[CrashID]map[*Run]struct{}{}, trials: map[Part]int{},
 	}
 }
 
 // Judge returns the verdict on a request of a workspace with the given parts, in the
 // order of the prompt. The deepest of several suspected parts decides: requests share it
-// with the fewest others.
+// with the fewest others. Of several undecided parts one that is being tried decides, or
+// else the first: a run tries all of them.
 func (i *Isolator) Judge(now identifier.Instant, w identifier.Workspace, parts []Part) Verdict {
 	i.rejudge(now)
 	verdict := Verdict{}
 	for _, p := range parts {
-		if b := i.blocks[p]; b != nil && b.applies(HashWorkspace(w)) {
-			return Verdict{State: Blocked, Part: p, Crashes: b.Crashes}
-		}
-		if j, known := i.judgements[p]; known {
-			verdict = Verdict{State: j.state, Part: p, Crashes: j.crashes}
+		switch v := i.judgePart(p, HashWorkspace(w)); {
+		case v.State == Blocked:
+			return v
+		case v.State != Clear && i.decides(p, v.State, verdict):
+			verdict = v
 		}
 	}
 	return verdict
 }
 
-// CountSuspected returns the number of suspected parts.
+// judgePart returns the verdict on one part in a request of a workspace. A part that is
+// blocked for other workspaces is undecided.
+func (i *Isolator) judgePart(p Part, w WorkspaceHash) Verdict {
+	b := i.blocks[p]
+	switch {
+	case b != nil && b.mayRetry:
+		return Verdict{State: Undecided, Part: p, Crashes: b.Crashes, Granted: true}
+	case b != nil && b.applies(w):
+		return Verdict{State: Blocked, Part: p, Crashes: b.Crashes}
+	case b != nil:
+		return Verdict{State: Undecided, Part: p, Crashes: b.Crashes}
+	}
+	if j, known := i.judgements[p]; known {
+		return Verdict{State: j.state, Part: p, Crashes: j.crashes}
+	}
+	return Verdict{}
+}
+
+// decides reports whether a part in a state decides on a request, in place of the part in
+// front of it that has led to a verdict.
+func (i *Isolator) decides(p Part, s State, v Verdict) bool {
+	switch {
+	case s != v.State:
+		return s > v.State
+	case s == Undecided:
+		return i.InTrial(p) && !i.InTrial(v.Part)
+	}
+	return true
+}
+
+// CountSuspected returns the number of suspected and undecided parts.
 func (i *Isolator) CountSuspected(now identifier.Instant) int {
 	i.rejudge(now)
 	return len(i.judgements)
@@ -186,8 +248,7 @@
 		}
 	}
 	for len(i.crashes) > maxCrashes {
-		delete(i.crashes, i.oldestCrash())
-		i.dirty = true
+		i.forget(i.oldestCrash())
 	}
 	if !i.dirty {
 		return
@@ -199,6 +260,23 @@
 	}
 }
 
+// forget drops a crash. The workspaces of its suspects stay with the other crashes at which
+// these were running.
+func (i *Isolator) forget(id CrashID) {
+	forgotten := i.crashes[id]
+	delete(i.crashes, id)
+	i.dirty = true
+	for p, s := range forgotten.suspects {
+		for _, c := range i.crashes {
+			if other, running := c.suspects[p]; running {
+				other.Workspaces = other.merge(s).Workspaces
+				c.suspects[p] = other
+				break
+			}
+		}
+	}
+}
+
 func (i *Isolator) oldestCrash() CrashID {
 	var oldest CrashID
 	var at identifier.Instant
@@ -220,12 +298,12 @@
 	return false
 }
 
-// Report returns what other routers must know: the crashes with their suspects, and when
+// Report returns what other routers must know: which undecided parts this one tries, the crashes with their suspects, and when
 // this router has seen suspects answered. It is empty for most of the time if nothing
 // has changed for a while.
 func (i *Isolator) Report(now identifier.Instant) Report {
 	if len(i.crashes) == 0 || now.Sub(i.changedAt) > resendFor && now.Sub(i.reportedAt) < refreshInterval {
-		return Report{}
+		return Report{Trying: i.candidacies(now)}
 	}
 	i.reportedAt = now
 	return i.FullReport(now)
@@ -234,7 +312,7 @@
 // FullReport returns all that other routers must know, for one that knows nothing yet.
 func (i *Isolator) FullReport(now identifier.Instant) Report {
 	i.prune(now)
-	r := Report{Crashes: make(map[CrashID]CrashReport, len(i.crashes)), Answered: map[Part]time.Duration{}}
+	r := Report{Crashes: make(map[CrashID]CrashReport, len(i.crashes)), Answered: map[Part]time.Duration{}, Trying: i.candidacies(now)}
 	remaining := maxReported
 	for _, id := range i.latestFirst() {
 		c := i.crashes[id]
@@ -264,6 +342,7 @@
 			i.addSuspect(now, known, s)
 		}
 	}
+	i.receiveCandidates(now, r.Trying)
 	for p, age := range r.Answered {
 		at := now.Add(-age)
 		if at <= i.peers[p] || !i.isSuspect(p) {
@@ -271,6 +350,7 @@
 		}
 		i.peers[p] = at
 		i.dirty = true
+		i.liftAnswered(now, p)
 	}
 	i.prune(now)
 }
--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -2,6 +2,7 @@
 
 import (
 	"sort"
+	"time"
 
 	"buckthorndrum/identifier"
 )
@@ -29,7 +30,7 @@
 		counts := i.countCrashes(order)
 		worst, found := i.worst(counts)
 		if !found {
-			i.setJudgements(counts)
+			i.setJudgements(now, counts)
 			break
 		}
 		i.block(now, worst, counts[worst], withdrawn)
@@ -41,15 +42,18 @@
 type count struct {
 	Suspect
 	// crashes is their number, in which those with the same cause and those of the same
-	// target count once, and total is the number of all.
-	crashes, total int
-	// accompanied is how many of crashes happened together with one elsewhere. Each of them
-	// raises what blocks the part by one, up to blockAfterAtOnce.
+	// target count once. moments is the same with those of one target at different times
+	// counted each, and total is the number of all.
+	crashes, moments, total int
+	// trials is how many of them were trials at targets that crashed alone.
+	trials int
+	// accompanied is how many of crashes happened in the same outage as one elsewhere. Each of
+	// them raises what blocks the part by one, up to blockAfterRepeated.
 	accompanied int
 	// targets are the targets of crashes.
 	targets map[TargetHash]struct{}
-	// last is when the last of crashes happened.
-	last identifier.Instant
+	// last is when the last of crashes happened, and lastMoment the last of moments.
+	last, lastMoment identifier.Instant
 }
 
 // countCrashes counts the crashes that no blocked part explains, for each part that was
@@ -69,9 +73,12 @@
 			if !known {
 				n = count{Suspect: s, targets: map[TargetHash]struct{}{}}
 			}
-			if n.add(c.at, id.target(), s) && i.accompanied(c, p) {
+			if n.add(c.at, id.target(), s) && i.accompanied(c, p, sameOutage) {
 				n.accompanied++
 			}
+			if s.Trial && !i.accompanied(c, p, sameCause) {
+				n.trials++
+			}
 			counts[p] = n
 		}
 	}
@@ -83,6 +90,10 @@
 func (n *count) add(at identifier.Instant, t TargetHash, s Suspect) bool {
 	n.Suspect = n.merge(s)
 	n.total++
+	if n.moments == 0 || s.Trial || at.Sub(n.lastMoment) > sameCause {
+		n.moments++
+		n.lastMoment = at
+	}
 	_, again := n.targets[t]
 	if again || n.crashes > 0 && !s.Trial && at.Sub(n.last) <= sameCause {
 		return false
@@ -93,12 +104,12 @@
 	return true
 }
 
-// accompanied reports whether a target at which a part was not running crashed at the same
-// time as one at which it was, so that both may have a cause other than the part.
-func (i *Isolator) accompanied(c *crash, p Part) bool {
+// accompanied reports whether a target at which a part was not running crashed within a time
+// of one at which it was, so that both may have a cause other than the part.
+func (i *Isolator) accompanied(c *crash, p Part, within time.Duration) bool {
 	for _, other := range i.crashes {
 		_, running := other.suspects[p]
-		if !running && max(other.at.Sub(c.at), c.at.Sub(other.at)) <= sameCause {
+		if !running && max(other.at.Sub(c.at), c.at.Sub(other.at)) <= within {
 			return true
 		}
 	}
@@ -119,12 +130,11 @@
 	return found
 }
 
-// worst returns the part to be blocked next, if there is one: that with the most
-// crashes, then one that was never answered, then the deepest.
+// worst returns the part to be blocked next, if there is one: that with the most crashes,
+// then with the most trials among them, then one that was never answered, then the deepest.
 func (i *Isolator) worst(counts map[Part]count) (worst Part, found bool) {
 	for p, n := range counts {
-		limit := min(i.limit(p, blockAfter, blockAnsweredAfter)+n.accompanied, blockAfterAtOnce)
-		if n.crashes < limit && n.total < blockAfterAtOnce {
+		if !i.proven(p, n) {
 			continue
 		}
 		if !found || i.worse(n, counts[worst]) {
@@ -134,12 +144,26 @@
 	return worst, found
 }
 
+// proven reports whether the crashes show that targets crash under a part. Crashes at one
+// moment are not enough, however many they are, as they may have one cause outside the
+// prompt. Trials that crash their targets alone are.
+func (i *Isolator) proven(p Part, n count) bool {
+	limit := min(i.limit(p, blockAfter, blockAnsweredAfter)+n.accompanied, blockAfterRepeated)
+	return n.crashes >= limit || n.moments >= blockAfterRepeated || i.isUndecided(p, n) && n.trials >= undecidedTrials
+}
+
+// isUndecided reports whether as many targets have crashed under a part as block it.
+func (i *Isolator) isUndecided(p Part, n count) bool {
+	_, before := i.undecided[p]
+	return before || n.total >= undecidedAfter
+}
+
 func (i *Isolator) worse(a, b count) bool {
 	if a.crashes != b.crashes {
 		return a.crashes > b.crashes
 	}
-	if a.total != b.total {
-		return a.total > b.total
+	if a.trials != b.trials {
+		return a.trials > b.trials
 	}
 	if x, y := i.lastAnswer(a.Part) == 0, i.lastAnswer(b.Part) == 0; x != y {
 		return x
@@ -147,6 +171,9 @@
 	if a.Depth != b.Depth {
 		return a.Depth > b.Depth
 	}
+	if a.total != b.total {
+		return a.total > b.total
+	}
 	return a.Part < b.Part
 }
 
@@ -158,11 +185,26 @@
 	return answered
 }
 
-// setJudgements replaces the judgements by those that follow from counts.
-func (i *Isolator) setJudgements(counts map[Part]count) {
+// setJudgements replaces the judgements by those that follow from counts, and from what was
+// undecided before.
+func (i *Isolator) setJudgements(now identifier.Instant, counts map[Part]count) {
 	clear(i.judgements)
+	for p, at := range i.undecided {
+		if i.blocks[p] != nil || at <= i.lifted[p] || at <= i.lastAnswer(p).Add(answerGrace) || now.Sub(at) > crashTTL {
+			delete(i.undecided, p)
+		}
+	}
+	for p := range i.undecided {
+		i.judgements[p] = judgement{state: Undecided, crashes: counts[p].crashes}
+	}
 	for p, n := range counts {
-		if n.crashes >= i.limit(p, 1, suspectAnsweredAfter) {
+		switch {
+		case i.isUndecided(p, n):
+			if len(i.undecided) < maxTried {
+				i.undecided[p] = n.last
+			}
+			i.judgements[p] = judgement{state: Undecided, crashes: n.crashes}
+		case n.crashes >= i.limit(p, 1, suspectAnsweredAfter):
 			i.judgements[p] = judgement{state: Suspected, crashes: n.crashes}
 		}
 	}
--- a/isolator/report.go
+++ b/isolator/report.go
@@ -31,6 +31,12 @@
 // target returns the hash of the target that crashed.
 func (c CrashID) target() TargetHash { return TargetHash(c) }
 
+// Rank identifies a router among its peers. A router without a rank, which is zero, has none.
+type Rank uint32
+
+// HashRouter returns the rank of a router, which is a hash of its name.
+func HashRouter(r identifier.Router) Rank { return Rank(xxhash.Sum64String(string(r))) | 1 }
+
 // WorkspaceHash is a hash of a workspace's name. Reports carry it to save space.
 type WorkspaceHash uint32
 
@@ -48,6 +54,8 @@
 	// maxReported bounds the suspects of all crashes in one report, and the answered
 	// parts in it.
 	maxReported = 192
+	// maxTried bounds the undecided parts in one report.
+	maxTried = 64
 	// maxWorkspaces bounds the workspaces of a suspect. A part that requests of so many
 	// workspaces carry is blocked for all.
 	maxWorkspaces = 3
@@ -97,15 +105,19 @@
 	// Answered holds, for suspects, the time since the last complete answer to a request
 	// with the part.
 	Answered map[Part]time.Duration `cbor:"2,keyasint,omitempty"`
+	// Trying holds the first candidates for trials of undecided parts.
+	Trying map[Part]Candidate `cbor:"3,keyasint,omitempty"`
 }
 
 // Empty reports whether the report holds nothing.
-func (r Report) Empty() bool { return len(r.Crashes) == 0 && len(r.Answered) == 0 }
+func (r Report) Empty() bool {
+	return len(r.Crashes) == 0 && len(r.Answered) == 0 && len(r.Trying) == 0
+}
 
 // Check returns an error if a decoded report is not well formed or exceeds its bounds.
 func (r Report) Check() error {
-	if len(r.Crashes) > maxCrashes || len(r.Answered) > maxReported {
-		return errors.Errorf("report has %d crashes and %d answered parts, at most %d and %d are allowed", len(r.Crashes), len(r.Answered), maxCrashes, maxReported)
+	if len(r.Crashes) > maxCrashes || len(r.Answered) > maxReported || len(r.Trying) > maxTried {
+		return errors.Errorf("report has %d crashes, %d answered and %d undecided parts, at most %d, %d and %d are allowed", len(r.Crashes), len(r.Answered), len(r.Trying), maxCrashes, maxReported, maxTried)
 	}
 	for id, c := range r.Crashes {
 		if c.Age < 0 || len(c.Suspects) > maxSuspects {
@@ -122,6 +134,11 @@
 			return errors.Errorf("answer to part %x has a negative age", uint64(p))
 		}
 	}
+	for p, c := range r.Trying {
+		if c.Age < 0 {
+			return errors.Errorf("candidate for part %x has a negative age", uint64(p))
+		}
+	}
 	return nil
 }
 
@@ -137,6 +154,10 @@
 	for p, age := range aged.Answered {
 		aged.Answered[p] = age + d
 	}
+	for p, c := range aged.Trying {
+		c.Age += d
+		aged.Trying[p] = c
+	}
 	return aged
 }
 
@@ -160,6 +181,20 @@
 		}
 		r.Answered[p] = age
 	}
+	r.addTrying(t.Trying)
+}
+
+// addTrying merges the first candidates, within the bounds of a report.
+func (r *Report) addTrying(trying map[Part]Candidate) {
+	if len(trying) > 0 && r.Trying == nil {
+		r.Trying = make(map[Part]Candidate, len(trying))
+	}
+	for p, c := range trying {
+		if old, known := r.Trying[p]; known && old.before(c) || !known && len(r.Trying) >= maxTried {
+			continue
+		}
+		r.Trying[p] = c
+	}
 }
 
 // merge returns a report of the same crash with the suspects of both. The earlier
--- a/isolator/run.go
+++ b/isolator/run.go
@@ -1,6 +1,7 @@
 package isolator
 
 import (
+	"slices"
 	"time"
 
 	"buckthorndrum/identifier"
@@ -10,9 +11,13 @@
 // is noticed later.
 const brokenFor = time.Second
 
-// ProgressInterval is the time between the first event of an answer and the record of its
-// progress, and between two records.
-const ProgressInterval = time.Second
+const (
+	// FirstProgress is the time between the first event of an answer and the first record
+	// of its progress. A target that crashes under a part does so when it begins to answer.
+	FirstProgress = 250 * time.Millisecond
+	// ProgressInterval is the time between two records of the progress of an answer.
+	ProgressInterval = time.Second
+)
 
 // maxPartsPerRun bounds the parts of one request that are looked at.
 const maxPartsPerRun = 16
@@ -22,8 +27,8 @@
 	target    CrashID
 	workspace identifier.Workspace
 	parts     []Part
-	// trial is the suspected part for which the run is a trial, zero if it is none.
-	trial Part
+	// trials are the parts for which the run is a trial, none if it is none.
+	trials []Part
 	// counted is whether the run counts as a trial that is under way.
 	counted bool
 	// brokenAt is when the connection broke, zero before.
@@ -43,12 +48,21 @@
 )
 
 // StartRun records that a request with the given parts is sent to an incarnation of a
-// target. A run with a suspected part is a trial of the part.
+// target. A run with a suspected part is a trial of the part, and one with undecided parts
+// of all of them.
 func (i *Isolator) StartRun(now identifier.Instant, target CrashID, w identifier.Workspace, parts []Part) *Run {
 	r := &Run{target: target, workspace: w, parts: parts[:min(len(parts), maxPartsPerRun)]}
-	if v := i.Judge(now, w, r.parts); v.State == Suspected {
-		r.trial, r.counted = v.Part, true
-		i.trials[r.trial]++
+	v := i.Judge(now, w, r.parts)
+	r.trials = i.trialsOf(r, v)
+	r.counted = len(r.trials) > 0
+	for _, p := range r.trials {
+		i.trials[p]++
+		if v.State == Undecided {
+			i.tried[p] = now
+		}
+		if b := i.blocks[p]; b != nil {
+			b.mayRetry = false
+		}
 	}
 	if i.runs[target] == nil {
 		i.runs[target] = map[*Run]struct{}{}
@@ -57,13 +71,35 @@
 	return r
 }
 
+// trialsOf returns the parts that a run tries, given the verdict on its request.
+func (i *Isolator) trialsOf(r *Run, v Verdict) []Part {
+	switch v.State {
+	case Suspected:
+		return []Part{v.Part}
+	case Undecided:
+		var tried []Part
+		for _, p := range r.parts {
+			if i.judgePart(p, HashWorkspace(r.workspace)).State == Undecided {
+				tried = append(tried, p)
+			}
+		}
+		return tried
+	}
+	return nil
+}
+
 // EndRun records the end of a run. A broken run is kept for brokenFor, as the crash may
 // be noticed later.
 func (i *Isolator) EndRun(now identifier.Instant, r *Run, o Outcome) {
 	if r.counted {
 		r.counted = false
-		if i.trials[r.trial]--; i.trials[r.trial] <= 0 {
-			delete(i.trials, r.trial)
+		for _, p := range r.trials {
+			if _, known := i.tried[p]; known {
+				i.tried[p] = now
+			}
+			if i.trials[p]--; i.trials[p] <= 0 {
+				delete(i.trials, p)
+			}
 		}
 	}
 	if o == Broken {
@@ -76,13 +112,14 @@
 	}
 }
 
-// RecordProgress records that the target of a run goes on with its answer, ProgressInterval
+// RecordProgress records that the target of a run goes on with its answer, FirstProgress
 // or more after the answer's first event. It clears the parts as a complete answer does: a
 // target that crashes under a part does so when it begins to answer.
 func (i *Isolator) RecordProgress(now identifier.Instant, r *Run) {
 	for _, p := range r.parts {
 		i.own.record(now, p)
 		i.dirty = i.dirty || i.isSuspect(p)
+		i.liftAnswered(now, p)
 	}
 }
 
@@ -108,7 +145,7 @@
 	for r := range i.runs[target] {
 		runs++
 		for depth, p := range r.parts {
-			s := Suspect{Part: p, Depth: depth, Trial: p == r.trial, Workspaces: []WorkspaceHash{HashWorkspace(r.workspace)}}
+			s := Suspect{Part: p, Depth: depth, Trial: slices.Contains(r.trials, p), Workspaces: []WorkspaceHash{HashWorkspace(r.workspace)}}
 			if old, known := found[p]; known {
 				s = old.merge(s)
 			}
--- a/router/crashes.go
+++ b/router/crashes.go
@@ -55,7 +55,7 @@
 	switch v := r.state.isolator.Judge(now(), c.item.Class.Workspace, parts); {
 	case v.State == isolator.Blocked:
 		refusal.Reason, refusal.Detail = reasonPrefixBlocked, fmt.Sprintf("engines crashed %d times under this prompt prefix", v.Crashes)
-	case v.State == isolator.Suspected && r.state.isolator.InTrial(v.Part):
+	case v.State != isolator.Clear && r.state.isolator.InTrial(v.Part):
 		refusal.Reason, refusal.Detail = reasonPrefixSuspected, "an engine crashed under this prompt prefix, and another request with it is being tried"
 		refusal.RetryAfter = trialRetryAfter
 	default:
