forwarder, informer: a refusal by 401 or 404 can be traced to its proof

The users saw 798 requests refused as only an older configuration allows, and no line of any of them in the logs of the routers that refused: among 150 lines a second that of one request is left out, and it did not tell where its proof came from.

The line of a denied request is a warning now (10 a second, the rest as before), and has the proof's age and source (the store, or which hub) and the store's position up to which changes were known.

TestDeniedRequestIsLoggedWithItsProof failed before: no line, and no such field.

--- a/forwarder/accesslog.go
+++ b/forwarder/accesslog.go
@@ -16,6 +16,10 @@
 type accessRecord struct {
 	revision identifier.Revision
 	proofAge time.Duration
+	// proofSource and position are those of a request that the configuration did not allow:
+	// where the proof came from, and the store's position up to which all changes were known.
+	proofSource string
+	position    int64
 	// shareRatio, latencyLimit and choice are those of the last selection of a target.
 	// latencyLimit bounds the expected time to the first token.
 	shareRatio   float64
@@ -44,6 +48,13 @@
 	outcomeCallerLeft = "caller_left"
 )
 
+const (
+	// deniedLinesPerSecond and deniedLinesAtOnce bound the lines of denied requests that are
+	// warnings, which are never left out. Those beyond are among the lines of all requests.
+	deniedLinesPerSecond = 10
+	deniedLinesAtOnce    = 50
+)
+
 // recordOutcome writes the log entry of a request that has ended and updates the
 // metrics.
 func (f *Forwarder) recordOutcome(c *call) {
@@ -59,7 +70,7 @@
 		f.metrics.firstByte.Observe(c.firstByteAt.Sub(c.arrived).Seconds())
 	}
 	f.countLate(c, outcome)
-	entry := f.log.Check(zap.InfoLevel, "request ended")
+	entry := f.log.Check(f.levelOf(outcome), "request ended")
 	if entry == nil {
 		return
 	}
@@ -73,9 +84,7 @@
 	fields = append(fields, zap.String("workspace", string(c.workspace)), zap.Duration("took", now.Sub(c.arrived)),
 		zap.Uint64("revision", uint64(c.revision)), zap.Duration("proof_age", c.proofAge),
 		zap.Int("sends", c.attempts), zap.Int("runs", c.runs), zap.Bool("may_have_run", c.mayHaveRun))
-	if c.route != nil {
-		fields = append(fields, zap.String("kind", string(c.route.Kind)), zap.String("pool", string(c.pool)))
-	}
+	fields = c.appendRoute(fields)
 	if len(c.tried) > 0 || c.choice.Refused != "" {
 		fields = append(fields, zap.Array("targets", targetList(c.tried)), zap.Float64("standing", c.shareRatio), zap.Duration("limit", c.latencyLimit),
 			zap.Duration("expected", c.choice.Wait), zap.Int("unread", c.choice.PrefillTokens), zap.String("refused", string(c.choice.Refused)))
@@ -92,6 +101,25 @@
 	entry.Write(fields...)
 }
 
+// levelOf returns the level of the log line of a request that ended with an outcome.
+func (f *Forwarder) levelOf(outcome string) zapcore.Level {
+	if outcome == outcomeDenied && f.deniedLines.Allow() {
+		return zap.WarnLevel
+	}
+	return zap.InfoLevel
+}
+
+// appendRoute appends the fields of a request's route, or of what denied it one.
+func (c *call) appendRoute(fields []zap.Field) []zap.Field {
+	if c.proofSource != "" {
+		fields = append(fields, zap.String("proof_from", c.proofSource), zap.Int64("position", c.position))
+	}
+	if c.route != nil {
+		fields = append(fields, zap.String("kind", string(c.route.Kind)), zap.String("pool", string(c.pool)))
+	}
+	return fields
+}
+
 // maxLoggedText bounds text of callers and targets in a log line, in bytes.
 const maxLoggedText = 256
 
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -144,10 +144,7 @@
 	c.revision, c.proofAge = s.Revision, now.Sub(confirmedAt)
 	route := s.Match(c.r.Host, requestPath(c.r))
 	if route == nil {
-		if !f.isFresh(now, confirmedAt) {
-			return staleAnswer()
-		}
-		return &errorAnswer{status: http.StatusNotFound, reason: "There is no such route."}
+		return f.denial(now, confirmedAt, c, &errorAnswer{status: http.StatusNotFound, reason: "There is no such route."})
 	}
 	c.route = route
 	if route.Public {
@@ -160,13 +157,22 @@
 	}
 	w, ok := s.WorkspaceOf(c.info.Key)
 	if !ok {
-		return &errorAnswer{status: http.StatusUnauthorized, reason: "The key is not valid."}
+		return f.denial(now, confirmedAt, c, &errorAnswer{status: http.StatusUnauthorized, reason: "The key is not valid."})
 	}
 	c.workspace = w
 	c.allowedRegions = s.AllowedRegions(route, w)
 	return nil
 }
 
+// denial returns the answer to a request that the configuration does not allow.
+func (f *Forwarder) denial(now, confirmedAt identifier.Instant, c *call, e *errorAnswer) *errorAnswer {
+	if !f.isFresh(now, confirmedAt) {
+		return staleAnswer()
+	}
+	c.proofSource, c.position = f.proofSource(), f.state.position.Load()
+	return e
+}
+
 // requestPath returns the request's path as the caller sent it, without unescaping or
 // cleaning.
 func requestPath(r *http.Request) string {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 	"go.uber.org/zap"
+	"golang.org/x/time/rate"
 
 	"buckthorndrum/acceptor"
 	"buckthorndrum/clocker"
@@ -112,7 +113,9 @@
 	durations durations
 	// rejections is what was logged of the rejections on all ports of the process.
 	rejections rejectionLog
-	log        *zap.Logger
+	// deniedLines bounds the log lines of denied requests that are warnings.
+	deniedLines *rate.Limiter
+	log         *zap.Logger
 	// startedAt is when the forwarder started.
 	startedAt identifier.Instant
 	ctx       context.Context
@@ -162,6 +165,7 @@
 	f.listener = l
 	f.memory.limit = cfg.MaxBufferedBytes
 	f.rejections.counts = map[acceptor.Rejection]int64{}
+	f.deniedLines = rate.NewLimiter(deniedLinesPerSecond, deniedLinesAtOnce)
 	if cfg.EvenOutLoad {
 		f.state.admitter.EvenOutLoad()
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -10,6 +10,9 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"buckthorndrum/clocker"
 )
@@ -275,6 +278,20 @@
 	g.Expect(f.requestsSeen()).To(BeEmpty())
 }
 
+// Against refusals that nobody could trace: among 150 other lines a second that of a denied
+// request was left out, and it did not tell where the proof came from.
+func TestDeniedRequestIsLoggedWithItsProof(t *testing.T) {
+	g := NewWithT(t)
+	core, lines := observer.New(zapcore.WarnLevel)
+	f := newFleet(t, completeAnswer)
+	f.log = zap.New(core)
+	f.ReceivePeerStatus(clocker.Now().Add(time.Second), "hub-1", Status{Position: 1})
+	g.Expect(f.send(f.request(http.MethodGet, "/nowhere/1", "")).status).To(Equal(http.StatusNotFound))
+	g.Eventually(lines.Len, "2s").Should(Equal(1))
+	fields := lines.All()[0].ContextMap()
+	g.Expect(fields).To(And(HaveKeyWithValue("proof_from", "hub-1"), HaveKey("position"), HaveKey("proof_age"), HaveKeyWithValue("revision", BeNumerically(">", 0))))
+}
+
 // A key that is revoked while a request is being retried is not used for the next
 // attempt.
 func TestKeyIsCheckedBeforeEachAttempt(t *testing.T) {
--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -22,6 +22,9 @@
 	tunables atomic.Pointer[Tunables]
 	// confirmedAt is when the snapshot was last known to be the newest, as an Instant.
 	confirmedAt atomic.Int64
+	// proofSource is where the proof of confirmedAt came from, nil before the first. It may
+	// be that of the one before for a moment, and is for the log only.
+	proofSource atomic.Pointer[string]
 	// position is the store's revision up to which all changes are known.
 	position atomic.Int64
 	// stopping is set when the process is about to stop.
@@ -104,12 +107,15 @@
 	return 0
 }
 
-// storeMax sets v to value unless v is already at least as high.
-func storeMax(v *atomic.Int64, value int64) {
+// storeMax sets v to value and returns true, unless v is already at least as high.
+func storeMax(v *atomic.Int64, value int64) bool {
 	for {
 		old := v.Load()
-		if value <= old || v.CompareAndSwap(old, value) {
-			return
+		if value <= old {
+			return false
+		}
+		if v.CompareAndSwap(old, value) {
+			return true
 		}
 	}
 }
--- a/forwarder/summary.go
+++ b/forwarder/summary.go
@@ -184,18 +184,37 @@
 // ConfirmFreshness records that this router knows all changes of the store up to
 // position, and that at the instant at the store had no later change.
 func (f *Forwarder) ConfirmFreshness(at identifier.Instant, position int64) {
+	f.confirm(at, position, sourceStore)
+}
+
+// sourceStore is the source of the proofs that this router has from the store itself. That
+// of others is the name of the router that sent them.
+const sourceStore = "store"
+
+// confirm is ConfirmFreshness with the source of the proof, for the log.
+func (f *Forwarder) confirm(at identifier.Instant, position int64, source string) {
 	storeMax(&f.state.position, position)
-	storeMax(&f.state.confirmedAt, int64(at))
+	if storeMax(&f.state.confirmedAt, int64(at)) {
+		f.state.proofSource.Store(&source)
+	}
+}
+
+// proofSource returns where the latest proof came from, empty if there is none.
+func (f *Forwarder) proofSource() string {
+	if s := f.state.proofSource.Load(); s != nil {
+		return *s
+	}
+	return ""
 }
 
 // AdvancePosition records that this router knows all changes of the store up to
 // position.
 func (f *Forwarder) AdvancePosition(position int64) { storeMax(&f.state.position, position) }
 
-// ReceivePeerStatus records how far another router had followed the store at an instant. If
+// ReceivePeerStatus records how far the router from had followed the store at an instant. If
 // this router has got as far, the status confirms its configuration too. Otherwise the
 // other router's position is sent on the channel that NewerPositions returns.
-func (f *Forwarder) ReceivePeerStatus(at identifier.Instant, s Status) {
+func (f *Forwarder) ReceivePeerStatus(at identifier.Instant, from identifier.Router, s Status) {
 	position := f.state.position.Load()
 	if s.Position > position {
 		select {
@@ -205,7 +224,7 @@
 		return
 	}
 	if s.Position > 0 {
-		f.ConfirmFreshness(at.Add(-s.ProofAge), position)
+		f.confirm(at.Add(-s.ProofAge), position, string(from))
 	}
 }
 
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -32,7 +32,7 @@
 	SetPeerSummaryDelay(d time.Duration)
 	// ReceivePeerStatus receives how far another router had followed the store at an
 	// instant.
-	ReceivePeerStatus(at identifier.Instant, s forwarder.Status)
+	ReceivePeerStatus(at identifier.Instant, from identifier.Router, s forwarder.Status)
 }
 
 // Relay holds the latest changes of the store, and receives those that other routers
@@ -161,7 +161,7 @@
 	others, at, mostComplete := i.handleTotal(now, m, i.cfg.State.Status(now).ProofAge)
 	if at > 0 {
 		i.relayChanges(m)
-		i.cfg.State.ReceivePeerStatus(at, m.Status)
+		i.cfg.State.ReceivePeerStatus(at, m.From, m.Status)
 	}
 	if mostComplete {
 		// The reports of the others took about as long as this router's own one, which the
@@ -205,7 +205,7 @@
 func (i *Informer) sendLoop(ctx context.Context) {
 	for {
 		select {
-		case <-time.After(i.interval()):
+		case <-time.After(i.Interval()):
 			reporter.Guard(i.log, "tell", func() { i.sendRound(clocker.Now()) })
 		case <-ctx.Done():
 			_ = i.conn.Close()
@@ -214,7 +214,8 @@
 	}
 }
 
-func (i *Informer) interval() time.Duration {
+// Interval returns the time between two messages to a hub, or of a hub.
+func (i *Informer) Interval() time.Duration {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	return i.exchange.interval()
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -62,7 +62,7 @@
 	r.delay = d
 }
 
-func (r *fakeState) ReceivePeerStatus(_ identifier.Instant, s forwarder.Status) {
+func (r *fakeState) ReceivePeerStatus(_ identifier.Instant, _ identifier.Router, s forwarder.Status) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.status = s
@@ -345,7 +345,7 @@
 }
 
 // ReceivePeerStatus implements RouterState.
-func (p *panickingState) ReceivePeerStatus(identifier.Instant, forwarder.Status) {
+func (p *panickingState) ReceivePeerStatus(identifier.Instant, identifier.Router, forwarder.Status) {
 	p.calls.Add(1)
 	panic("status cannot be handled")
 }
