forwarder: a request is not denied under a proof as old as a change may take (CONFIG)

What callers saw: 404 for a route, or 401 for a key, that a configuration has which was acknowledged more than 2 s before.

Cause: a refusal rested on the same proof as a service, up to 0.6 of revoke_ms (3 s), or on none where keys need no proof; a configuration must be in force after config_apply_ms (2 s). Between the two a router refused what it had not heard of yet.

Change: beyond config_apply_ms the answer is 503, with when to come back. Service is as before.

Why it works: a request that is refused wrongly was sent later than config_apply_ms after the ack, and the ack was later than the proof. So the proof is older than that.

Failed before: TestOldProofDeniesNothing (404 and 401 at two minutes, of one allowed).

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -164,9 +164,11 @@
 	return nil
 }
 
-// denial returns the answer to a request that the configuration does not allow.
+// denial returns the answer to a request that the configuration does not allow. A newer one
+// may allow it if the proof is old, so that the caller is told to come back then.
 func (f *Forwarder) denial(now, confirmedAt identifier.Instant, c *call, e *errorAnswer) *errorAnswer {
-	if !f.isFresh(now, confirmedAt) {
+	maxAge := f.state.tunables.Load().MaxRefusalAge
+	if !f.isFresh(now, confirmedAt) || maxAge > 0 && now.Sub(confirmedAt) > maxAge {
 		return staleAnswer()
 	}
 	c.proofSource, c.position = f.proofSource(), f.state.position.Load()
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -49,7 +49,11 @@
 	// MaxProofAge is the maximum age of the freshness proof of the configuration at
 	// which keys are accepted. Zero requires no proof.
 	MaxProofAge time.Duration
-	RetryBudget RetryBudget
+	// MaxRefusalAge is the maximum age of the proof at which a request is refused because its
+	// route or key is not in the configuration: that within which a new configuration must be
+	// in force. Zero sets no other bound than MaxProofAge.
+	MaxRefusalAge time.Duration
+	RetryBudget   RetryBudget
 	// ColdBound bounds the requests that all routers together send to a cold target.
 	ColdBound permitter.ColdBound
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -278,6 +278,24 @@
 	g.Expect(f.requestsSeen()).To(BeEmpty())
 }
 
+// Against refusals that only an older configuration allows: a route or a key that a newer
+// one has was denied under a proof older than the time within which that one must be in
+// force. What the configuration allows is served until the proof is too old for keys.
+func TestOldProofDeniesNothing(t *testing.T) {
+	g := NewWithT(t)
+	f := newFleet(t, completeAnswer)
+	g.Expect(f.SetTunables(Tunables{MaxProofAge: 1000 * time.Hour, MaxRefusalAge: time.Minute, RetryBudget: RetryBudget{Ratio: 0.2, Window: time.Second}})).To(Succeed())
+	denied := func() []int {
+		wrongKey := f.request(http.MethodGet, "/lookup/1", "")
+		wrongKey.Header.Set("Key", "nobody's")
+		return []int{f.send(f.request(http.MethodGet, "/nowhere/1", "")).status, f.send(wrongKey).status}
+	}
+	g.Expect(denied()).To(Equal([]int{http.StatusNotFound, http.StatusUnauthorized}))
+	f.state.confirmedAt.Store(int64(clocker.Now().Add(-2 * time.Minute)))
+	g.Expect(denied()).To(Equal([]int{http.StatusServiceUnavailable, http.StatusServiceUnavailable}))
+	g.Expect(f.send(f.request(http.MethodGet, "/lookup/1", "")).status).To(Equal(http.StatusOK))
+}
+
 // Against refusals that nobody could trace: among 150 other lines a second that of a denied
 // request was left out, and it did not tell where the proof came from.
 func TestDeniedRequestIsLoggedWithItsProof(t *testing.T) {
