--- a/informer/informer.go
+++ b/informer/informer.go
@@ -253,8 +253,11 @@
 // sendRound sends a report to the hubs, and the total to the routers that report to this
 // one.
 func (i *Informer) sendRound(now identifier.Instant) {
-	own, status := i.cfg.State.Summary(now), i.cfg.State.Status(now)
+	own := i.cfg.State.Summary(now)
 	r := i.startRound(now, own)
+	// The status is read after the reports were collected. The routers date its proof back
+	// from their reports, and this process may have been suspended before.
+	status := i.cfg.State.Status(clocker.Now())
 	m := message{From: i.cfg.Self, Incarnation: i.incarnation, Number: r.number, Summary: own, Status: status}
 	i.sendReport(m, r.addresses)
 	i.sendTotal(now, m, r.reports, r.mostComplete)
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -15,6 +15,7 @@
 	"go.uber.org/zap"
 
 	"buckthorndrum/admitter"
+	"buckthorndrum/clocker"
 	"buckthorndrum/forwarder"
 	"buckthorndrum/identifier"
 	"buckthorndrum/sharer"
@@ -385,3 +386,38 @@
 	g.Expect(x.liveReports(second.Add(2 * reportTTL))).To(BeEmpty())
 	g.Expect(x.reportBytes).To(BeZero())
 }
+
+// slowState takes a while to sum up what it has in flight, as a process does that is suspended
+// meanwhile.
+type slowState struct {
+	*fakeState
+	// summedUp is when it last did so, and asked the latest instant for which it was asked
+	// for its status.
+	summedUp, asked identifier.Instant
+}
+
+// Summary implements RouterState.
+func (s *slowState) Summary(now identifier.Instant) forwarder.Summary {
+	time.Sleep(20 * time.Millisecond)
+	s.summedUp = clocker.Now()
+	return s.fakeState.Summary(now)
+}
+
+// Status implements RouterState.
+func (s *slowState) Status(now identifier.Instant) forwarder.Status {
+	s.asked = now
+	return s.fakeState.Status(now)
+}
+
+// Against proofs that look younger than they are: a hub that was suspended between reading the
+// age of its proof and collecting the reports that it answers told the age from before.
+func TestProofIsDatedAfterReportsAreCollected(t *testing.T) {
+	g := NewWithT(t)
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close() }()
+	s := &slowState{fakeState: newFakeState(1)}
+	i := &Informer{cfg: Config{Self: "a", State: s}, conn: conn, log: zap.NewNop(), exchange: newExchange("a")}
+	i.sendRound(clocker.Now())
+	g.Expect(s.asked).To(BeNumerically(">=", s.summedUp))
+}
