isolator: a part stays undecided while its block is not settled

A block that is withdrawn within its first 2 s, to be judged anew, had lost that its part was undecided, so that it could fall back to suspected once other crashes had crowded out those that showed it.

--- a/isolator/isolator.go
+++ b/isolator/isolator.go
@@ -298,9 +298,9 @@
 	return false
 }
 
-// Report returns what other routers must know: which undecided parts this one tries, the crashes with their suspects, and when
-// this router has seen suspects answered. It is empty for most of the time if nothing
-// has changed for a while.
+// Report returns what other routers must know: which undecided parts this one tries, the
+// crashes with their suspects, and when this router has seen suspects answered. It is empty
+// for most of the time if nothing has changed for a while.
 func (i *Isolator) Report(now identifier.Instant) Report {
 	if len(i.crashes) == 0 || now.Sub(i.changedAt) > resendFor && now.Sub(i.reportedAt) < refreshInterval {
 		return Report{Trying: i.candidacies(now)}
--- a/isolator/judge.go
+++ b/isolator/judge.go
@@ -190,7 +190,7 @@
 func (i *Isolator) setJudgements(now identifier.Instant, counts map[Part]count) {
 	clear(i.judgements)
 	for p, at := range i.undecided {
-		if i.blocks[p] != nil || at <= i.lifted[p] || at <= i.lastAnswer(p).Add(answerGrace) || now.Sub(at) > crashTTL {
+		if b := i.blocks[p]; b != nil && b.settled || at <= i.lifted[p] || at <= i.lastAnswer(p).Add(answerGrace) || now.Sub(at) > crashTTL {
 			delete(i.undecided, p)
 		}
 	}
