--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -206,6 +206,7 @@
 	f.countRequest(now, pool)
 	f.recordDemand(now, c)
 	release := f.awaitTrial(ctx, c)
+	defer release()
 	for {
 		t, e := f.selectTarget(c)
 		release()
