isolator: a router without peers keeps no times of trials

They are for candidacies, which only routers with peers report and expire, so that the agents' and the product's own routers kept them for ever. Found by reading the diff; no test of its own.

--- a/isolator/run.go
+++ b/isolator/run.go
@@ -57,7 +57,7 @@
 	r.counted = len(r.trials) > 0
 	for _, p := range r.trials {
 		i.trials[p]++
-		if v.State == Undecided {
+		if v.State == Undecided && i.rank != 0 {
 			i.tried[p] = now
 		}
 		if b := i.blocks[p]; b != nil {
