--- a/forwarder/accesslog.go
+++ b/forwarder/accesslog.go
@@ -74,16 +74,17 @@
 	if entry == nil {
 		return
 	}
-	fields := []zap.Field{
-		zap.String("request", c.loggedID()), zap.String("ending", outcome), zap.Int("status", c.status),
-	}
+	fields := c.appendProof([]zap.Field{zap.String("request", c.loggedID())})
+	fields = append(fields, zap.String("ending", outcome), zap.Int("status", c.status))
 	if f.state.stopping.Load() {
 		fields = append(fields, zap.Duration("read_since_stop", f.sinceStop(c.arrived)))
 		fields = c.fit.appendTo(fields)
 	}
-	fields = append(fields, zap.String("workspace", string(c.workspace)), zap.Duration("took", now.Sub(c.arrived)),
-		zap.Uint64("revision", uint64(c.revision)), zap.Duration("proof_age", c.proofAge),
-		zap.Int("sends", c.attempts), zap.Int("runs", c.runs), zap.Bool("may_have_run", c.mayHaveRun))
+	fields = append(fields, zap.String("workspace", string(c.workspace)), zap.Duration("took", now.Sub(c.arrived)))
+	if c.proofSource == "" {
+		fields = append(fields, zap.Uint64("revision", uint64(c.revision)), zap.Duration("proof_age", c.proofAge))
+	}
+	fields = append(fields, zap.Int("sends", c.attempts), zap.Int("runs", c.runs), zap.Bool("may_have_run", c.mayHaveRun))
 	fields = c.appendRoute(fields)
 	if len(c.tried) > 0 || c.choice.Refused != "" {
 		fields = append(fields, zap.Array("targets", targetList(c.tried)), zap.Float64("standing", c.shareRatio), zap.Duration("limit", c.latencyLimit),
@@ -109,11 +110,19 @@
 	return zap.InfoLevel
 }
 
-// appendRoute appends the fields of a request's route, or of what denied it one.
-func (c *call) appendRoute(fields []zap.Field) []zap.Field {
-	if c.proofSource != "" {
-		fields = append(fields, zap.String("proof_from", c.proofSource), zap.Int64("position", c.position))
+// appendProof appends the fields of the configuration and the proof under which a request was
+// denied, and nothing for other requests. They are the first in the line, as readers of many
+// lines cut these off.
+func (c *call) appendProof(fields []zap.Field) []zap.Field {
+	if c.proofSource == "" {
+		return fields
 	}
+	return append(fields, zap.Uint64("revision", uint64(c.revision)), zap.Duration("proof_age", c.proofAge),
+		zap.String("proof_from", c.proofSource), zap.Int64("position", c.position))
+}
+
+// appendRoute appends the fields of a request's route.
+func (c *call) appendRoute(fields []zap.Field) []zap.Field {
 	if c.route != nil {
 		fields = append(fields, zap.String("kind", string(c.route.Kind)), zap.String("pool", string(c.pool)))
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -310,6 +310,21 @@
 	g.Expect(fields).To(And(HaveKeyWithValue("proof_from", "hub-1"), HaveKey("position"), HaveKey("proof_age"), HaveKeyWithValue("revision", BeNumerically(">", 0))))
 }
 
+// Readers of many lines cut off their ends, and with them why a request was denied.
+func TestWhatDeniedRequestStandsFirstInItsLine(t *testing.T) {
+	g := NewWithT(t)
+	core, lines := observer.New(zapcore.WarnLevel)
+	f := newFleet(t, completeAnswer)
+	f.log = zap.New(core)
+	g.Expect(f.send(f.request(http.MethodGet, "/nowhere/1", "")).status).To(Equal(http.StatusNotFound))
+	g.Eventually(lines.Len, "2s").Should(Equal(1))
+	var keys []string
+	for _, field := range lines.All()[0].Context {
+		keys = append(keys, field.Key)
+	}
+	g.Expect(keys[:5]).To(Equal([]string{"request", "revision", "proof_age", "proof_from", "position"}))
+}
+
 // A key that is revoked while a request is being retried is not used for the next
 // attempt.
 func TestKeyIsCheckedBeforeEachAttempt(t *testing.T) {
