--- a/forwarder/accesslog.go
+++ b/forwarder/accesslog.go
@@ -19,7 +19,7 @@
 	// proofSource and position are those of a request that the configuration did not allow:
 	// where the proof came from, and the store's position up to which all changes were known.
 	proofSource string
-	position    int64
+	position    identifier.StorePosition
 	// shareRatio, latencyLimit and choice are those of the last selection of a target.
 	// latencyLimit bounds the expected time to the first token.
 	shareRatio   float64
@@ -118,7 +118,7 @@
 		return fields
 	}
 	return append(fields, zap.Uint64("revision", uint64(c.revision)), zap.Duration("proof_age", c.proofAge),
-		zap.String("proof_from", c.proofSource), zap.Int64("position", c.position))
+		zap.String("proof_from", c.proofSource), zap.Int64("position", c.position.Revision), zap.Int64("era", c.position.Era))
 }
 
 // appendRoute appends the fields of a request's route.
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -171,7 +171,7 @@
 	if !f.isFresh(now, confirmedAt) || maxAge > 0 && now.Sub(confirmedAt) > maxAge {
 		return staleAnswer()
 	}
-	c.proofSource, c.position = f.proofSource(), f.state.position.Load()
+	c.proofSource, c.position = f.proofSource(), f.position()
 	return e
 }
 
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -122,7 +122,7 @@
 		f.addTarget(fmt.Sprintf("t%d", i), s)
 	}
 	f.configure(1)
-	f.ConfirmFreshness(clocker.Now(), 1)
+	f.ConfirmFreshness(clocker.Now(), identifier.StorePosition{Revision: 1})
 	return f
 }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -130,7 +130,7 @@
 	cancelRequests context.CancelFunc
 	// newerPositions carries positions of the store that other routers know and this
 	// one does not.
-	newerPositions chan int64
+	newerPositions chan identifier.StorePosition
 	// done is closed when the forwarder has stopped.
 	done chan struct{}
 }
@@ -159,7 +159,7 @@
 		conns:          exchanger.New(exchanger.Config{DialTimeout: dialTimeout, AckTimeout: ackTimeout, MaxIdle: maxIdlePerTarget, MaxConns: cfg.MaxTargetConns, Identify: cfg.Identify}),
 		log:            cfg.Log.Named("forwarder"),
 		callers:        acceptor.NewConnTracker(cfg.MaxCallers),
-		newerPositions: make(chan int64, 1),
+		newerPositions: make(chan identifier.StorePosition, 1),
 		serveDone:      make(chan struct{}),
 		startedAt:      clocker.Now(),
 		done:           make(chan struct{}),
--- /dev/null
+++ b/forwarder/freshness.go
@@ -0,0 +1,120 @@
+package forwarder
+
+import (
+	"time"
+
+	"buckthorndrum/identifier"
+)
+
+// Status is how far a router has followed the store. Messages have Era beside it, so that
+// routers without it can decode it.
+type Status struct {
+	_ struct{} `cbor:",toarray"`
+	// Position is the store's revision up to which the router knows all changes.
+	Position int64
+	// ProofAge is how long ago the router was last known to have all changes.
+	ProofAge time.Duration
+	// Era is the era of Position.
+	Era int64 `cbor:"-"`
+}
+
+// storePosition returns the position up to which the router knows all changes.
+func (s Status) storePosition() identifier.StorePosition {
+	return identifier.StorePosition{Era: s.Era, Revision: s.Position}
+}
+
+// Status returns how far this router has followed the store. The proof is read before
+// the position: a proof that was read after it could belong to a later position (see
+// spec/proof.pml).
+func (f *Forwarder) Status(now identifier.Instant) Status {
+	age := f.ProofAge(now)
+	position := f.position()
+	return Status{Position: position.Revision, Era: position.Era, ProofAge: age}
+}
+
+// ProofAge returns the age of the proof that this router knows all changes of the
+// store.
+func (f *Forwarder) ProofAge(now identifier.Instant) time.Duration {
+	return now.Sub(f.confirmedAt())
+}
+
+// confirmedAt returns the instant at which this router was last known to have the
+// newest configuration, zero for none.
+func (f *Forwarder) confirmedAt() identifier.Instant {
+	return identifier.Instant(f.state.confirmedAt.Load())
+}
+
+// ConfirmFreshness records that this router knows all changes of the store up to
+// position, and that at the instant at the store had no later change.
+func (f *Forwarder) ConfirmFreshness(at identifier.Instant, position identifier.StorePosition) {
+	f.confirm(at, position, sourceStore)
+}
+
+// sourceStore is the source of the proofs that this router has from the store itself. That
+// of others is the name of the router that sent them.
+const sourceStore = "store"
+
+// confirm is ConfirmFreshness with the source of the proof, for the log.
+func (f *Forwarder) confirm(at identifier.Instant, position identifier.StorePosition, source string) {
+	f.AdvancePosition(position)
+	if storeMax(&f.state.confirmedAt, int64(at)) {
+		f.state.proofSource.Store(&source)
+	}
+}
+
+// proofSource returns where the latest proof came from, empty if there is none.
+func (f *Forwarder) proofSource() string {
+	if s := f.state.proofSource.Load(); s != nil {
+		return *s
+	}
+	return ""
+}
+
+// AdvancePosition records that this router knows all changes of the store up to
+// position.
+func (f *Forwarder) AdvancePosition(position identifier.StorePosition) {
+	for {
+		old := f.state.position.Load()
+		if old != nil && !old.Before(position) || f.state.position.CompareAndSwap(old, &position) {
+			return
+		}
+	}
+}
+
+// position returns the store's position up to which this router knows all changes.
+func (f *Forwarder) position() identifier.StorePosition {
+	if p := f.state.position.Load(); p != nil {
+		return *p
+	}
+	return identifier.StorePosition{}
+}
+
+// ReceivePeerStatus records how far the router from had followed the store at an instant. If
+// this router has got as far in the same era, the status confirms its configuration too. If the
+// other router is ahead, its position is sent on the channel that NewerPositions returns. A
+// router of an older era proves nothing.
+func (f *Forwarder) ReceivePeerStatus(at identifier.Instant, from identifier.Router, s Status) {
+	position, theirs := f.position(), s.storePosition()
+	if position.Before(theirs) {
+		select {
+		case f.newerPositions <- theirs:
+		default:
+		}
+		return
+	}
+	if s.Position > 0 && position.Era == s.Era {
+		f.confirm(at.Add(-s.ProofAge), position, string(from))
+	}
+}
+
+// NewerPositions returns a channel of store positions that other routers know and this
+// one did not when it received them.
+func (f *Forwarder) NewerPositions() <-chan identifier.StorePosition { return f.newerPositions }
+
+// isFresh reports whether a proof of freshness from the instant confirmedAt is recent
+// enough for keys to be accepted. The configuration must be read after the proof (see
+// spec/proof.pml).
+func (f *Forwarder) isFresh(now, confirmedAt identifier.Instant) bool {
+	maxAge := f.state.tunables.Load().MaxProofAge
+	return maxAge <= 0 || confirmedAt > 0 && now.Sub(confirmedAt) <= maxAge
+}
--- a/forwarder/proof_test.go
+++ b/forwarder/proof_test.go
@@ -46,7 +46,9 @@
 	f := newFleet(t, completeAnswer)
 	violations := 0
 	base := clocker.Now()
-	runConcurrently(func(n int) { f.ConfirmFreshness(base.Add(time.Duration(n)*time.Second), int64(n)) }, func() {
+	runConcurrently(func(n int) {
+		f.ConfirmFreshness(base.Add(time.Duration(n)*time.Second), identifier.StorePosition{Revision: int64(n)})
+	}, func() {
 		s := f.Status(base)
 		if int64(-s.ProofAge/time.Second) > s.Position {
 			violations++
@@ -68,10 +70,10 @@
 	violations := 0
 	// The observer may run before the first change.
 	f.configure(first)
-	f.ConfirmFreshness(base, first)
+	f.ConfirmFreshness(base, identifier.StorePosition{Revision: first})
 	runConcurrently(func(n int) {
 		f.configure(identifier.Revision(first + n))
-		f.ConfirmFreshness(base.Add(time.Duration(n)*time.Second), int64(first+n))
+		f.ConfirmFreshness(base.Add(time.Duration(n)*time.Second), identifier.StorePosition{Revision: int64(first + n)})
 	}, func() {
 		c := &call{r: r, info: f.cfg.Dialect.ReadRequest(r.Header)}
 		if e := f.authorize(c); e != nil {
--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -25,8 +25,9 @@
 	// proofSource is where the proof of confirmedAt came from, nil before the first. It may
 	// be that of the one before for a moment, and is for the log only.
 	proofSource atomic.Pointer[string]
-	// position is the store's revision up to which all changes are known.
-	position atomic.Int64
+	// position is the store's position up to which all changes are known, nil before the
+	// first.
+	position atomic.Pointer[identifier.StorePosition]
 	// stopping is set when the process is about to stop.
 	stopping atomic.Bool
 	stop     stop
--- a/forwarder/summary.go
+++ b/forwarder/summary.go
@@ -126,15 +126,6 @@
 	s.Crashes.Add(t.Crashes)
 }
 
-// Status is how far a router has followed the store.
-type Status struct {
-	_ struct{} `cbor:",toarray"`
-	// Position is the store's revision up to which the router knows all changes.
-	Position int64
-	// ProofAge is how long ago the router was last known to have all changes.
-	ProofAge time.Duration
-}
-
 // Summary returns what this router has in flight.
 func (f *Forwarder) Summary(now identifier.Instant) Summary {
 	f.state.mu.Lock()
@@ -160,82 +151,3 @@
 	f.state.admitter.SetPeerLimits(now, others.Limits, routers)
 	f.state.sharer.SetPeerRates(now, others.Rates)
 }
-
-// Status returns how far this router has followed the store. The proof is read before
-// the position: a proof that was read after it could belong to a later position (see
-// spec/proof.pml).
-func (f *Forwarder) Status(now identifier.Instant) Status {
-	age := f.ProofAge(now)
-	return Status{Position: f.state.position.Load(), ProofAge: age}
-}
-
-// ProofAge returns the age of the proof that this router knows all changes of the
-// store.
-func (f *Forwarder) ProofAge(now identifier.Instant) time.Duration {
-	return now.Sub(f.confirmedAt())
-}
-
-// confirmedAt returns the instant at which this router was last known to have the
-// newest configuration, zero for none.
-func (f *Forwarder) confirmedAt() identifier.Instant {
-	return identifier.Instant(f.state.confirmedAt.Load())
-}
-
-// ConfirmFreshness records that this router knows all changes of the store up to
-// position, and that at the instant at the store had no later change.
-func (f *Forwarder) ConfirmFreshness(at identifier.Instant, position int64) {
-	f.confirm(at, position, sourceStore)
-}
-
-// sourceStore is the source of the proofs that this router has from the store itself. That
-// of others is the name of the router that sent them.
-const sourceStore = "store"
-
-// confirm is ConfirmFreshness with the source of the proof, for the log.
-func (f *Forwarder) confirm(at identifier.Instant, position int64, source string) {
-	storeMax(&f.state.position, position)
-	if storeMax(&f.state.confirmedAt, int64(at)) {
-		f.state.proofSource.Store(&source)
-	}
-}
-
-// proofSource returns where the latest proof came from, empty if there is none.
-func (f *Forwarder) proofSource() string {
-	if s := f.state.proofSource.Load(); s != nil {
-		return *s
-	}
-	return ""
-}
-
-// AdvancePosition records that this router knows all changes of the store up to
-// position.
-func (f *Forwarder) AdvancePosition(position int64) { storeMax(&f.state.position, position) }
-
-// ReceivePeerStatus records how far the router from had followed the store at an instant. If
-// this router has got as far, the status confirms its configuration too. Otherwise the
-// other router's position is sent on the channel that NewerPositions returns.
-func (f *Forwarder) ReceivePeerStatus(at identifier.Instant, from identifier.Router, s Status) {
-	position := f.state.position.Load()
-	if s.Position > position {
-		select {
-		case f.newerPositions <- s.Position:
-		default:
-		}
-		return
-	}
-	if s.Position > 0 {
-		f.confirm(at.Add(-s.ProofAge), position, string(from))
-	}
-}
-
-// NewerPositions returns a channel of store positions that other routers know and this
-// one did not when it received them.
-func (f *Forwarder) NewerPositions() <-chan int64 { return f.newerPositions }
-
-// isFresh reports whether a proof of freshness from the instant confirmedAt is recent
-// enough for keys to be accepted. The configuration must be read after the proof (see
-// spec/proof.pml).
-func (f *Forwarder) isFresh(now, confirmedAt identifier.Instant) bool {
-	maxAge := f.state.tunables.Load().MaxProofAge
-	return maxAge <= 0 || confirmedAt > 0 && now.Sub(confirmedAt) <= maxAge
-}
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -41,6 +41,22 @@
 // Revision numbers the accepted configurations. It only rises.
 type Revision uint64
 
+// StorePosition is a position in the history of the platform's store. The zero position is
+// before all others.
+type StorePosition struct {
+	// Era counts how often the store has come back from a copy. It lost what it had
+	// acknowledged since that was made, and gives its revisions out again, so that
+	// revisions of different eras say nothing of each other.
+	Era int64
+	// Revision is the store's revision. It rises with each change of an era.
+	Revision int64
+}
+
+// Before reports whether p is an earlier position than q.
+func (p StorePosition) Before(q StorePosition) bool {
+	return p.Era < q.Era || p.Era == q.Era && p.Revision < q.Revision
+}
+
 // Incarnation distinguishes one run of a process from all its other runs.
 type Incarnation uint64
 
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -40,7 +40,7 @@
 type Relay interface {
 	// After returns the changes after a position of the store; ok is false if there
 	// are none.
-	After(position int64) (n relayer.ChangeSet, ok bool)
+	After(position identifier.StorePosition) (n relayer.ChangeSet, ok bool)
 	// ReceiveChanges receives changes from another router.
 	ReceiveChanges(n relayer.ChangeSet)
 }
@@ -191,7 +191,7 @@
 
 // changesAfter returns the changes for a router that has followed the store up to a
 // position, nil if there are none.
-func (i *Informer) changesAfter(position int64) *relayer.ChangeSet {
+func (i *Informer) changesAfter(position identifier.StorePosition) *relayer.ChangeSet {
 	if i.cfg.Relay == nil {
 		return nil
 	}
@@ -303,7 +303,7 @@
 	}
 	for _, r := range reports {
 		total.Echo = r.Number
-		total.Changes = i.changesAfter(r.Status.Position)
+		total.Changes = i.changesAfter(identifier.StorePosition{Era: r.Status.Era, Revision: r.Status.Position})
 		i.send(total, r.address)
 	}
 }
--- a/informer/message.go
+++ b/informer/message.go
@@ -30,6 +30,8 @@
 	// Changes is set in a total if the sender knows changes of the store that the
 	// receiver does not know.
 	Changes *relayer.ChangeSet `cbor:"8,keyasint,omitempty"`
+	// Era is that of Status.
+	Era int64 `cbor:"9,keyasint,omitempty"`
 	// size is the size of a received message in bytes.
 	size int
 }
@@ -45,6 +47,7 @@
 	Echo        uint64                 `cbor:"6,keyasint,omitempty"`
 	Routers     int                    `cbor:"7,keyasint,omitempty"`
 	Changes     *relayer.ChangeSet     `cbor:"8,keyasint,omitempty"`
+	Era         int64                  `cbor:"9,keyasint,omitempty"`
 }
 
 // encode returns the message with its summary encoded.
@@ -53,7 +56,7 @@
 	if err != nil {
 		return encodedMessage{}, errors.Wrap(err, "encode summary")
 	}
-	return encodedMessage{From: m.From, Incarnation: m.Incarnation, Number: m.Number, Summary: raw, Status: m.Status, Echo: m.Echo, Routers: m.Routers, Changes: m.Changes}, nil
+	return encodedMessage{From: m.From, Incarnation: m.Incarnation, Number: m.Number, Summary: raw, Status: m.Status, Echo: m.Echo, Routers: m.Routers, Changes: m.Changes, Era: m.Status.Era}, nil
 }
 
 // isTotal reports whether the message is a total and not a report.
@@ -64,8 +67,8 @@
 	if m.From == "" || m.Incarnation == 0 {
 		return errors.New("message has no sender or no incarnation")
 	}
-	if m.Routers < 0 || m.Status.ProofAge < 0 {
-		return errors.Errorf("message of router %q has a negative router count or proof age", m.From)
+	if m.Routers < 0 || m.Status.ProofAge < 0 || m.Era < 0 {
+		return errors.Errorf("message of router %q has a negative router count, proof age or era", m.From)
 	}
 	if m.Changes != nil {
 		if err := m.Changes.Check(); err != nil {
@@ -81,5 +84,6 @@
 	if err := cbor.Unmarshal(raw, &m); err != nil {
 		return m, errors.Wrap(err, "decode message")
 	}
+	m.Status.Era = m.Era
 	return m, m.check()
 }
--- a/relayer/changes.go
+++ b/relayer/changes.go
@@ -15,7 +15,7 @@
 }
 
 // ChangeSet holds all changes after one position of the store up to and including
-// another. A decoded set must be checked.
+// another, in one era. A decoded set must be checked.
 type ChangeSet struct {
 	After   int64    `cbor:"1,keyasint"`
 	UpTo    int64    `cbor:"2,keyasint"`
@@ -23,12 +23,14 @@
 	// Incomplete is true if changes are missing, so that they must be read from the
 	// store.
 	Incomplete bool `cbor:"4,keyasint,omitempty"`
+	// Era is the era of all positions of the set.
+	Era int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Check returns an error if the positions of a decoded set are negative or out of order.
 func (s ChangeSet) Check() error {
-	if s.After < 0 || s.UpTo < s.After {
-		return errors.Errorf("change set has invalid positions: after %d, up to %d", s.After, s.UpTo)
+	if s.After < 0 || s.UpTo < s.After || s.Era < 0 {
+		return errors.Errorf("change set has invalid positions: after %d, up to %d in era %d", s.After, s.UpTo, s.Era)
 	}
 	last := s.After
 	for _, c := range s.Changes {
--- a/relayer/log.go
+++ b/relayer/log.go
@@ -1,6 +1,10 @@
 package relayer
 
-import "sync"
+import (
+	"sync"
+
+	"buckthorndrum/identifier"
+)
 
 const (
 	// maxChanges and maxBytes bound the changes that a log keeps and the size of their
@@ -15,21 +19,21 @@
 // Log holds the latest changes of the store without a gap. It is safe for concurrent use.
 type Log struct {
 	mu sync.Mutex
-	// All changes after position after, up to and including position upTo, are held.
-	after, upTo int64
-	changes     []Change
-	bytes       int
+	// All changes of an era after position after, up to and including position upTo, are held.
+	era, after, upTo int64
+	changes          []Change
+	bytes            int
 }
 
 // Reset drops all changes, after the whole store was read again at a position.
-func (l *Log) Reset(position int64) {
+func (l *Log) Reset(position identifier.StorePosition) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.after, l.upTo = position, position
+	l.era, l.after, l.upTo = position.Era, position.Revision, position.Revision
 	l.changes, l.bytes = nil, 0
 }
 
-// Append adds all changes after the last position up to upTo.
+// Append adds all changes after the last position up to upTo, in the same era.
 func (l *Log) Append(changes []Change, upTo int64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -56,21 +60,23 @@
 
 // After returns the changes after a position. The set is incomplete if the log no longer
 // holds all of them, or if their values exceed maxSentBytes. ok is false if there are no
-// changes, or if position is 0: a router that has read nothing yet reads the store.
-func (l *Log) After(position int64) (set ChangeSet, ok bool) {
+// changes, if position is of another era, or if its revision is 0: a router that has read
+// nothing of the era yet reads the store.
+func (l *Log) After(position identifier.StorePosition) (set ChangeSet, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if position <= 0 || position >= l.upTo {
+	revision := position.Revision
+	if position.Era != l.era || revision <= 0 || revision >= l.upTo {
 		return ChangeSet{}, false
 	}
-	set = ChangeSet{After: position, UpTo: l.upTo}
-	if position < l.after {
+	set = ChangeSet{Era: l.era, After: revision, UpTo: l.upTo}
+	if revision < l.after {
 		set.Incomplete = true
 		return set, true
 	}
 	size := 0
 	for _, c := range l.changes {
-		if c.Position <= position {
+		if c.Position <= revision {
 			continue
 		}
 		if size += len(c.Value); size > maxSentBytes {
--- a/relayer/log_test.go
+++ b/relayer/log_test.go
@@ -5,36 +5,38 @@
 
 	. "github.com/onsi/gomega"
 	"pgregory.net/rapid"
+
+	"buckthorndrum/identifier"
 )
 
 func TestAfterReturnsLaterChanges(t *testing.T) {
 	g := NewWithT(t)
 	l := &Log{}
-	l.Reset(10)
-	_, ok := l.After(10)
+	l.Reset(identifier.StorePosition{Revision: 10})
+	_, ok := l.After(identifier.StorePosition{Revision: 10})
 	g.Expect(ok).To(BeFalse())
 	l.Append([]Change{{Key: "a", Position: 11, Value: []byte("1")}, {Key: "b", Position: 13, Removed: true}}, 15)
-	set, ok := l.After(11)
+	set, ok := l.After(identifier.StorePosition{Revision: 11})
 	g.Expect(ok).To(BeTrue())
 	g.Expect(set).To(Equal(ChangeSet{After: 11, UpTo: 15, Changes: []Change{{Key: "b", Position: 13, Removed: true}}}))
-	_, ok = l.After(15)
+	_, ok = l.After(identifier.StorePosition{Revision: 15})
 	g.Expect(ok).To(BeFalse())
-	_, ok = l.After(0)
+	_, ok = l.After(identifier.StorePosition{Revision: 0})
 	g.Expect(ok).To(BeFalse(), "a router that has read nothing yet reads the store")
 }
 
 func TestDroppedOrLargeChangesAreIncomplete(t *testing.T) {
 	g := NewWithT(t)
 	l := &Log{}
-	l.Reset(10)
-	set, _ := l.After(9)
+	l.Reset(identifier.StorePosition{Revision: 10})
+	set, _ := l.After(identifier.StorePosition{Revision: 9})
 	g.Expect(set.Incomplete).To(BeTrue())
 	l.Append([]Change{{Key: "large", Position: 11, Value: make([]byte, maxSentBytes+1)}}, 11)
 	l.Append([]Change{{Key: "a", Position: 12}}, 12)
-	set, _ = l.After(10)
+	set, _ = l.After(identifier.StorePosition{Revision: 10})
 	g.Expect(set.Incomplete).To(BeTrue())
 	g.Expect(set.Changes).To(BeEmpty())
-	set, _ = l.After(11)
+	set, _ = l.After(identifier.StorePosition{Revision: 11})
 	g.Expect(set.Incomplete).To(BeFalse())
 	g.Expect(set.Changes).To(HaveLen(1))
 }
@@ -44,7 +46,7 @@
 func TestChangeSetsLeaveNoGap(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		l := &Log{}
-		l.Reset(1)
+		l.Reset(identifier.StorePosition{Revision: 1})
 		storePosition := int64(1)
 		copied := map[string]int64{}
 		stored := map[string]int64{}
@@ -62,7 +64,7 @@
 				l.Append(changes, storePosition)
 				continue
 			}
-			set, ok := l.After(position)
+			set, ok := l.After(identifier.StorePosition{Revision: position})
 			if !ok {
 				if position != storePosition {
 					t.Fatalf("no changes after position %d, the store is at %d", position, storePosition)
