--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -85,6 +85,14 @@
 	f.state.isolator.AddStored(now, b)
 }
 
+// ForgetStoredBlock records that the block of a part of prompts is no longer in the store, which
+// has lost it. The block stands and is stored again.
+func (f *Forwarder) ForgetStoredBlock(p isolator.Part) {
+	f.state.mu.Lock()
+	defer f.state.mu.Unlock()
+	f.state.isolator.ForgetStored(p)
+}
+
 // RemoveBlock lifts the block of a part of prompts.
 func (f *Forwarder) RemoveBlock(now identifier.Instant, p isolator.Part) {
 	f.log.Info("block lifted", zap.String("part", partName(p)))
--- a/isolator/block.go
+++ b/isolator/block.go
@@ -92,16 +92,28 @@
 	}
 }
 
-// AddStored adds a block that is in the store. One that was lifted since is ignored.
+// AddStored adds a block that is in the store. One that was lifted since is not added, and is
+// to be removed from the store, which may have come back from a copy that has it.
 func (i *Isolator) AddStored(now identifier.Instant, b Block) {
-	lifted, was := i.lifted[b.Part]
-	if now.Sub(b.Since) > BlockTTL || was && b.Since <= lifted {
+	if now.Sub(b.Since) > BlockTTL {
+		return
+	}
+	if lifted, was := i.lifted[b.Part]; was && b.Since <= lifted {
+		i.unstore[b.Part] = struct{}{}
 		return
 	}
 	b.stored, b.settled = len(b.Workspaces), true
 	i.add(b)
 }
 
+// ForgetStored records that the block of a part is no longer in the store, although nobody has
+// lifted it.
+func (i *Isolator) ForgetStored(p Part) {
+	if b := i.blocks[p]; b != nil {
+		b.stored = 0
+	}
+}
+
 // add adds a block. For a part that is blocked already, its workspaces are added.
 func (i *Isolator) add(b Block) {
 	i.dirty = true
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -168,6 +168,21 @@
 	}
 }
 
+// Keys returns the keys of the entries of all targets, in no particular order.
+func (t *Tracker) Keys() []string {
+	keys := make([]string, 0, len(t.targets))
+	for key := range t.targets {
+		keys = append(keys, key)
+	}
+	return keys
+}
+
+// Target returns the target of an entry, and whether there is one.
+func (t *Tracker) Target(key string) (admitter.Target, bool) {
+	target, known := t.targets[key]
+	return target, known
+}
+
 // CountIn returns the number of targets in a data centre.
 func (t *Tracker) CountIn(zone identifier.DataCentre) int {
 	n := 0
