forwarder, informer: a proof from before the store has a lost configuration again is dropped (CONFIG)

A router that starts when the store has just come back from a copy read a configuration older than its peers have, and under a proof of no age it denied what that lacks and served keys that had been taken away.

Messages tell the configuration's revision. A proof of an era later than the first that is dated after another router was known to have a newer configuration contradicts it, and does not count, until the operator has written that again or nobody has told of it for 10 s. A store that never came back changes nothing.

--- a/forwarder/freshness.go
+++ b/forwarder/freshness.go
@@ -1,13 +1,15 @@
 package forwarder
 
 import (
+	"sync/atomic"
 	"time"
 
+	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
 )
 
-// Status is how far a router has followed the store. Messages have Era beside it, so that
-// routers without it can decode it.
+// Status is how far a router has followed the store. Messages have Era and Revision beside it,
+// so that routers without them can decode it.
 type Status struct {
 	_ struct{} `cbor:",toarray"`
 	// Position is the store's revision up to which the router knows all changes.
@@ -16,6 +18,8 @@
 	ProofAge time.Duration
 	// Era is the era of Position.
 	Era int64 `cbor:"-"`
+	// Revision is that of the configuration in force, zero for none.
+	Revision identifier.Revision `cbor:"-"`
 }
 
 // storePosition returns the position up to which the router knows all changes.
@@ -29,7 +33,7 @@
 func (f *Forwarder) Status(now identifier.Instant) Status {
 	age := f.ProofAge(now)
 	position := f.position()
-	return Status{Position: position.Revision, Era: position.Era, ProofAge: age}
+	return Status{Position: position.Revision, Era: position.Era, ProofAge: age, Revision: f.Revision()}
 }
 
 // ProofAge returns the age of the proof that this router knows all changes of the
@@ -54,9 +58,14 @@
 // of others is the name of the router that sent them.
 const sourceStore = "store"
 
-// confirm is ConfirmFreshness with the source of the proof, for the log.
+// confirm is ConfirmFreshness with the source of the proof, for the log. The proof is dropped
+// if another router had a newer configuration before: the store lost that and does not have it
+// again yet.
 func (f *Forwarder) confirm(at identifier.Instant, position identifier.StorePosition, source string) {
 	f.AdvancePosition(position)
+	if position.Era > 0 && f.state.peerRevision.Load().contradicts(at, f.Revision()) {
+		return
+	}
 	if storeMax(&f.state.confirmedAt, int64(at)) {
 		f.state.proofSource.Store(&source)
 	}
@@ -94,6 +103,7 @@
 // other router is ahead, its position is sent on the channel that NewerPositions returns. A
 // router of an older era proves nothing.
 func (f *Forwarder) ReceivePeerStatus(at identifier.Instant, from identifier.Router, s Status) {
+	f.recordPeerRevision(clocker.Now(), s.Revision)
 	position, theirs := f.position(), s.storePosition()
 	if position.Before(theirs) {
 		select {
@@ -107,6 +117,36 @@
 	}
 }
 
+// peerRevisionTTL is how long the word of another router counts that it has a configuration.
+const peerRevisionTTL = 10 * time.Second
+
+// peerRevision is the newest configuration that another router was known to have.
+type peerRevision struct {
+	revision identifier.Revision
+	// since is when it was first heard of, and toldAt is when it was last, as an Instant.
+	since  identifier.Instant
+	toldAt atomic.Int64
+}
+
+// contradicts reports whether a store that had no newer configuration than revision at an
+// instant has lost p.
+func (p *peerRevision) contradicts(at identifier.Instant, revision identifier.Revision) bool {
+	return p != nil && p.revision > revision && at > p.since && at.Sub(identifier.Instant(p.toldAt.Load())) < peerRevisionTTL
+}
+
+// recordPeerRevision records that another router has a configuration.
+func (f *Forwarder) recordPeerRevision(now identifier.Instant, r identifier.Revision) {
+	old := f.state.peerRevision.Load()
+	switch {
+	case old != nil && r == old.revision:
+		old.toldAt.Store(int64(now))
+	case r > f.Revision() && (old == nil || r > old.revision):
+		heard := &peerRevision{revision: r, since: now}
+		heard.toldAt.Store(int64(now))
+		f.state.peerRevision.Store(heard)
+	}
+}
+
 // NewerPositions returns a channel of store positions that other routers know and this
 // one did not when it received them.
 func (f *Forwarder) NewerPositions() <-chan identifier.StorePosition { return f.newerPositions }
--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -28,6 +28,9 @@
 	// position is the store's position up to which all changes are known, nil before the
 	// first.
 	position atomic.Pointer[identifier.StorePosition]
+	// peerRevision is the newest configuration that another router was known to have, nil
+	// before the first that was newer than this router's.
+	peerRevision atomic.Pointer[peerRevision]
 	// stopping is set when the process is about to stop.
 	stopping atomic.Bool
 	stop     stop
--- a/informer/message.go
+++ b/informer/message.go
@@ -30,8 +30,9 @@
 	// Changes is set in a total if the sender knows changes of the store that the
 	// receiver does not know.
 	Changes *relayer.ChangeSet `cbor:"8,keyasint,omitempty"`
-	// Era is that of Status.
-	Era int64 `cbor:"9,keyasint,omitempty"`
+	// Era and Revision are those of Status.
+	Era      int64               `cbor:"9,keyasint,omitempty"`
+	Revision identifier.Revision `cbor:"10,keyasint,omitempty"`
 	// size is the size of a received message in bytes.
 	size int
 }
@@ -48,6 +49,7 @@
 	Routers     int                    `cbor:"7,keyasint,omitempty"`
 	Changes     *relayer.ChangeSet     `cbor:"8,keyasint,omitempty"`
 	Era         int64                  `cbor:"9,keyasint,omitempty"`
+	Revision    identifier.Revision    `cbor:"10,keyasint,omitempty"`
 }
 
 // encode returns the message with its summary encoded.
@@ -56,7 +58,7 @@
 	if err != nil {
 		return encodedMessage{}, errors.Wrap(err, "encode summary")
 	}
-	return encodedMessage{From: m.From, Incarnation: m.Incarnation, Number: m.Number, Summary: raw, Status: m.Status, Echo: m.Echo, Routers: m.Routers, Changes: m.Changes, Era: m.Status.Era}, nil
+	return encodedMessage{From: m.From, Incarnation: m.Incarnation, Number: m.Number, Summary: raw, Status: m.Status, Echo: m.Echo, Routers: m.Routers, Changes: m.Changes, Era: m.Status.Era, Revision: m.Status.Revision}, nil
 }
 
 // isTotal reports whether the message is a total and not a report.
@@ -84,6 +86,6 @@
 	if err := cbor.Unmarshal(raw, &m); err != nil {
 		return m, errors.Wrap(err, "decode message")
 	}
-	m.Status.Era = m.Era
+	m.Status.Era, m.Status.Revision = m.Era, m.Revision
 	return m, m.check()
 }
