assigner: at which software version a stream begins, so that any router can tell later

A pure decision that nothing uses yet. A plan gives each version of a pool its part of the ids of the requests that begin streams, by weighted rendezvous hashing; a history holds the plans that may have begun streams that still go on. Whoever knows the plans knows from the id alone where a stream began, or that it cannot be known.

--- /dev/null
+++ b/assigner/assigner_test.go
@@ -0,0 +1,193 @@
+package assigner
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"buckthorndrum/identifier"
+)
+
+const (
+	start  = identifier.Instant(time.Hour)
+	settle = 2 * time.Second
+)
+
+type weights = map[identifier.Software]int
+
+func streamID(n int) identifier.Request { return identifier.Request(fmt.Sprintf("%016x", n)) }
+
+func TestPlanDividesStreamsByWeight(t *testing.T) {
+	g := NewWithT(t)
+	p := Plan{Number: 1, Weights: weights{"1": 3, "2": 1}}
+	n := 0
+	for i := range 20000 {
+		if p.Pick(streamID(i)) == "2" {
+			n++
+		}
+	}
+	g.Expect(n).To(BeNumerically("~", 5000, 250))
+}
+
+func TestNewVersionTakesOnlyItsPart(t *testing.T) {
+	g := NewWithT(t)
+	before, after := Plan{Number: 1, Weights: weights{"1": 8, "2": 1}}, Plan{Number: 2, Weights: weights{"1": 8, "2": 1, "3": 1}}
+	for i := range 2000 {
+		was, is := before.Pick(streamID(i)), after.Pick(streamID(i))
+		g.Expect(is == was || is == "3").To(BeTrue(), "no stream passes between versions that stay")
+	}
+}
+
+// routers simulates routers that learn each plan at most settle after it was made.
+func TestNoRouterTakesStreamUpAtAnotherVersion(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := start
+		var made []Plan
+		cfg := Config{Settle: settle}
+		list := make([]*History, 3)
+		knows := make([]int, len(list))
+		behind := make([]identifier.Instant, len(list))
+		for i := range list {
+			list[i] = NewHistory(cfg)
+		}
+		began := map[identifier.Request]identifier.Software{}
+		beganAt := map[identifier.Request]identifier.Instant{}
+		learn := func(i int) {
+			list[i].Learn(now, made)
+			knows[i] = len(made)
+		}
+		for n := range rapid.IntRange(10, 80).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+			if rapid.IntRange(0, 5).Draw(t, "plan") == 0 {
+				w := weights{identifier.Software(rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "a")): 1 + rapid.IntRange(0, 9).Draw(t, "wa")}
+				w[identifier.Software(rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "b"))] = 1 + rapid.IntRange(0, 9).Draw(t, "wb")
+				made = append(made, Plan{Number: uint64(len(made) + 1), Weights: w})
+			}
+			for i, h := range list {
+				if knows[i] < len(made) && behind[i] == 0 {
+					behind[i] = now
+				}
+				if knows[i] < len(made) && (now.Sub(behind[i]) >= settle-1500*time.Millisecond || rapid.Bool().Draw(t, "learns")) {
+					learn(i)
+					behind[i] = 0
+				}
+				if rapid.IntRange(0, 30).Draw(t, "restart") == 0 {
+					list[i] = NewHistory(cfg)
+					learn(i)
+					behind[i] = 0
+					continue
+				}
+				id := streamID(n*10 + i)
+				if v, ok := h.Pick(now, id); ok {
+					began[id], beganAt[id] = v, now
+				}
+			}
+			for id, v := range began {
+				for i, h := range list {
+					since := beganAt[id].Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "before")) * time.Millisecond)
+					if found, ok := h.Began(since, id); ok && found != v {
+						t.Fatalf("stream %s began at version %s, and router %d takes it up at %s", id, v, i, found)
+					}
+				}
+				if now.Sub(beganAt[id]) > 20*time.Second {
+					delete(began, id)
+				}
+			}
+		}
+	})
+}
+
+func TestStreamsOfOneVersionAreTakenUpAfterRestart(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHistory(Config{Settle: settle})
+	_, ok := h.Began(start, "a")
+	g.Expect(ok).To(BeFalse(), "nothing is known")
+	h.Learn(start, []Plan{{Number: 7, Weights: weights{"1": 1}}})
+	v, ok := h.Pick(start, "a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(v).To(BeEquivalentTo("1"))
+	v, ok = h.Began(start.Add(-time.Minute), "a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(v).To(BeEquivalentTo("1"))
+}
+
+func TestPlanIsInForceOnceAllRoutersKnowIt(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHistory(Config{Settle: settle})
+	h.Learn(start, []Plan{{Number: 1, Weights: weights{"1": 1}}})
+	h.Learn(start.Add(time.Second), []Plan{{Number: 1, Weights: weights{"1": 1}}, {Number: 2, Weights: weights{"2": 1}}})
+	pick := func(at time.Duration) identifier.Software {
+		v, ok := h.Pick(start.Add(at), "a")
+		g.Expect(ok).To(BeTrue())
+		return v
+	}
+	g.Expect(pick(2900 * time.Millisecond)).To(BeEquivalentTo("1"))
+	g.Expect(pick(3 * time.Second)).To(BeEquivalentTo("2"))
+	_, ok := h.Began(start.Add(5*time.Second), "a")
+	g.Expect(ok).To(BeFalse())
+	v, ok := h.Began(start.Add(5*time.Second+1), "a")
+	g.Expect(ok).To(BeTrue(), "no router begins a stream by the first plan any more")
+	g.Expect(v).To(BeEquivalentTo("2"))
+	h.Expire(start.Add(15*time.Second), 10*time.Second)
+	g.Expect(h.Plans()).To(HaveLen(2))
+	h.Expire(start.Add(15*time.Second+1), 10*time.Second)
+	g.Expect(h.Plans()).To(HaveLen(1))
+}
+
+func TestRouterThatStartsBeginsOnlyWhatPlansAgreeOn(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHistory(Config{Settle: settle})
+	one, two := Plan{Number: 1, Weights: weights{"1": 1}}, Plan{Number: 2, Weights: weights{"1": 1, "2": 1}}
+	h.Learn(start, []Plan{one, two})
+	for i := range 100 {
+		id := streamID(i)
+		v, ok := h.Pick(start, id)
+		g.Expect(ok).To(Equal(two.Pick(id) == "1"))
+		g.Expect(!ok || v == "1").To(BeTrue())
+		v, ok = h.Pick(start.Add(settle), id)
+		g.Expect(ok).To(BeTrue())
+		g.Expect(v).To(Equal(two.Pick(id)))
+	}
+}
+
+func TestPlansAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHistory(Config{Settle: settle})
+	for n := range uint64(maxPlans + 5) {
+		h.Learn(start, []Plan{{Number: n + 1, Weights: weights{"1": 1}}})
+	}
+	g.Expect(h.Plans()).To(HaveLen(maxPlans))
+	_, ok := h.Began(start, "a")
+	g.Expect(ok).To(BeFalse(), "a plan by which it may have begun was dropped")
+	_, ok = h.Began(start.Add(time.Minute), "a")
+	g.Expect(ok).To(BeTrue())
+}
+
+func TestNextPlanFollowsSlots(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHistory(Config{Settle: settle})
+	p, changed := h.Next(weights{"1": 640}, 0)
+	g.Expect(changed).To(BeTrue())
+	g.Expect(p).To(Equal(Plan{Number: 1, Weights: weights{"1": weightSteps}}))
+	h.Learn(start, []Plan{p})
+	_, changed = h.Next(weights{"1": 704}, 0)
+	g.Expect(changed).To(BeFalse(), "a pool of one version has one plan, whatever its size")
+	_, changed = h.Next(weights{}, 0)
+	g.Expect(changed).To(BeFalse(), "without targets the plan stays")
+	p, changed = h.Next(weights{"1": 640, "2": 64}, 0)
+	g.Expect(changed).To(BeTrue())
+	g.Expect(p).To(Equal(Plan{Number: 2, Weights: weights{"1": 18, "2": 2}}))
+	p, _ = h.Next(weights{"2": 64}, 1000)
+	g.Expect(p.Number).To(BeEquivalentTo(1000))
+}
+
+func TestPlanIsChecked(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(Plan{Number: 1, Weights: weights{"": 1}}.Check()).To(Succeed())
+	g.Expect(Plan{Weights: weights{"1": 1}}.Check()).NotTo(Succeed())
+	g.Expect(Plan{Number: 1}.Check()).NotTo(Succeed())
+	g.Expect(Plan{Number: 1, Weights: weights{"1": 0}}.Check()).NotTo(Succeed())
+}
--- /dev/null
+++ b/assigner/history.go
@@ -0,0 +1,145 @@
+package assigner
+
+import (
+	"maps"
+	"time"
+
+	"buckthorndrum/identifier"
+)
+
+// maxPlans bounds the plans of a history.
+const maxPlans = 64
+
+// Config configures a History.
+type Config struct {
+	// Settle is the time within which all routers know a new plan. A plan is in force that
+	// long after it became known, so that a router that does not know it takes up no stream
+	// that began by it.
+	Settle time.Duration
+}
+
+// History holds the plans of a pool by which streams may have begun that callers may still take
+// up. It is not safe for concurrent use.
+type History struct {
+	cfg   Config
+	plans []knownPlan
+	// overflowed is set once plans were dropped before their time, until it is past.
+	overflowedUntil identifier.Instant
+}
+
+// knownPlan is a plan and when this router learned of it.
+type knownPlan struct {
+	Plan
+	learnedAt identifier.Instant
+	// first is set for the plans that were known from the start. When they were made is not.
+	first bool
+}
+
+// NewHistory returns an empty history.
+func NewHistory(cfg Config) *History { return &History{cfg: cfg} }
+
+// Learn adds the plans that are not known yet. They must be valid and in the order of their
+// numbers.
+func (h *History) Learn(now identifier.Instant, plans []Plan) (changed bool) {
+	first := len(h.plans) == 0
+	for _, p := range plans {
+		if p.Number <= h.Newest().Number {
+			continue
+		}
+		h.plans = append(h.plans, knownPlan{Plan: p, learnedAt: now, first: first})
+		changed = true
+	}
+	if n := len(h.plans) - maxPlans; n > 0 {
+		h.overflowedUntil = max(h.overflowedUntil, h.endOf(n-1))
+		h.plans = append([]knownPlan(nil), h.plans[n:]...)
+	}
+	return changed
+}
+
+// Newest returns the plan with the highest number, zero if there is none.
+func (h *History) Newest() Plan {
+	if len(h.plans) == 0 {
+		return Plan{}
+	}
+	return h.plans[len(h.plans)-1].Plan
+}
+
+// Plans returns all plans, the oldest first.
+func (h *History) Plans() []Plan {
+	list := make([]Plan, len(h.plans))
+	for i, p := range h.plans {
+		list[i] = p.Plan
+	}
+	return list
+}
+
+// endOf returns the instant after which no router begins a stream by a plan that has a
+// successor: all know the successor a settling time after it was made, and put it in force
+// after another.
+func (h *History) endOf(i int) identifier.Instant {
+	if i+1 >= len(h.plans) {
+		return 0
+	}
+	return h.plans[i+1].learnedAt.Add(2 * h.cfg.Settle)
+}
+
+// Pick returns the version at which a stream begins now whose first request has an id. ok is
+// false if that cannot be told: there is no plan, or this router has just started and does not
+// know which of several is in force.
+func (h *History) Pick(now identifier.Instant, id identifier.Request) (v identifier.Software, ok bool) {
+	last := len(h.plans) - 1
+	for i := last; i >= 0; i-- {
+		p := h.plans[i]
+		v = p.Pick(id)
+		if !p.first && now.Sub(p.learnedAt) < h.cfg.Settle {
+			continue
+		}
+		if p.first && now.Sub(p.learnedAt) < h.cfg.Settle {
+			return h.agreed(h.plans[:i+1], id)
+		}
+		return v, true
+	}
+	return "", false
+}
+
+// agreed returns the version that all plans of a list pick for an id.
+func (h *History) agreed(plans []knownPlan, id identifier.Request) (v identifier.Software, ok bool) {
+	for i, p := range plans {
+		picked := p.Pick(id)
+		if i > 0 && picked != v {
+			return "", false
+		}
+		v = picked
+	}
+	return v, len(plans) > 0
+}
+
+// Began returns the version at which a stream began, not before an instant, whose first request
+// has an id. ok is false if plans differ by which it may have begun.
+func (h *History) Began(since identifier.Instant, id identifier.Request) (v identifier.Software, ok bool) {
+	if since <= h.overflowedUntil && h.overflowedUntil != 0 {
+		return "", false
+	}
+	i := 0
+	for i < len(h.plans) && h.endOf(i) != 0 && h.endOf(i) < since {
+		i++
+	}
+	return h.agreed(h.plans[i:], id)
+}
+
+// Expire drops the plans by which no stream began within a time.
+func (h *History) Expire(now identifier.Instant, memory time.Duration) {
+	for len(h.plans) > 1 && h.endOf(0) < now.Add(-memory) {
+		h.plans = h.plans[1:]
+	}
+}
+
+// Next returns the plan for the slots that the versions of the pool have now, and whether it is
+// another than the newest. Its number is at least least. Without slots, the newest plan stays.
+func (h *History) Next(slots map[identifier.Software]int, least uint64) (Plan, bool) {
+	newest, weights := h.Newest(), Weights(slots)
+	if len(weights) == 0 || len(weights) > maxVersions || maps.Equal(newest.Weights, weights) {
+		return newest, false
+	}
+	return Plan{Number: max(newest.Number+1, least), Weights: weights}, true
+}
--- a/identifier/identifier.go
+++ b/identifier/identifier.go
@@ -26,6 +26,10 @@
 // Target names one back end: a model engine or a plain service.
 type Target string
 
+// Software names a version of the software of a target. Streams of different versions do not
+// fit together. It is empty if the target names none.
+type Software string
+
 // Router names one router process.
 type Router string
 
