--- a/informer/message.go
+++ b/informer/message.go
@@ -30,6 +30,9 @@
 	// Changes is set in a total if the sender knows changes of the store that the
 	// receiver does not know.
 	Changes *relayer.ChangeSet `cbor:"8,keyasint,omitempty"`
+	// Era and Revision are those of Status.
+	Era      int64               `cbor:"9,keyasint,omitempty"`
+	Revision identifier.Revision `cbor:"10,keyasint,omitempty"`
 	// size is the size of a received message in bytes.
 	size int
 }
@@ -45,6 +48,8 @@
 	Echo        uint64                 `cbor:"6,keyasint,omitempty"`
 	Routers     int                    `cbor:"7,keyasint,omitempty"`
 	Changes     *relayer.ChangeSet     `cbor:"8,keyasint,omitempty"`
+	Era         int64                  `cbor:"9,keyasint,omitempty"`
+	Revision    identifier.Revision    `cbor:"10,keyasint,omitempty"`
 }
 
 // encode returns the message with its summary encoded.
@@ -53,7 +58,7 @@
 	if err != nil {
 		return encodedMessage{}, errors.Wrap(err, "encode summary")
 	}
-	return encodedMessage{From: m.From, Incarnation: m.Incarnation, Number: m.Number, Summary: raw, Status: m.Status, Echo: m.Echo, Routers: m.Routers, Changes: m.Changes}, nil
+	return encodedMessage{From: m.From, Incarnation: m.Incarnation, Number: m.Number, Summary: raw, Status: m.Status, Echo: m.Echo, Routers: m.Routers, Changes: m.Changes, Era: m.Status.Era, Revision: m.Status.Revision}, nil
 }
 
 // isTotal reports whether the message is a total and not a report.
@@ -64,8 +69,8 @@
 	if m.From == "" || m.Incarnation == 0 {
 		return errors.New("message has no sender or no incarnation")
 	}
-	if m.Routers < 0 || m.Status.ProofAge < 0 {
-		return errors.Errorf("message of router %q has a negative router count or proof age", m.From)
+	if m.Routers < 0 || m.Status.ProofAge < 0 || m.Era < 0 {
+		return errors.Errorf("message of router %q has a negative router count, proof age or era", m.From)
 	}
 	if m.Changes != nil {
 		if err := m.Changes.Check(); err != nil {
@@ -81,5 +86,6 @@
 	if err := cbor.Unmarshal(raw, &m); err != nil {
 		return m, errors.Wrap(err, "decode message")
 	}
+	m.Status.Era, m.Status.Revision = m.Era, m.Revision
 	return m, m.check()
 }
