informer, forwarder: hubs hear of a lost configuration from the routers that report to them (CONFIG)

Found by the review: if all hubs start while the store is back from a copy, they proved the older configuration to each other, as revisions were taken from totals only. Reports may come from anyone; they count now if they come from the address of a listed router. A revision that nobody tells any more no longer keeps lower ones from being heard, and the first proof that is dropped for one is logged.

--- a/forwarder/freshness.go
+++ b/forwarder/freshness.go
@@ -4,6 +4,8 @@
 	"sync/atomic"
 	"time"
 
+	"go.uber.org/zap"
+
 	"buckthorndrum/clocker"
 	"buckthorndrum/identifier"
 )
@@ -63,7 +65,10 @@
 // again yet.
 func (f *Forwarder) confirm(at identifier.Instant, position identifier.StorePosition, source string) {
 	f.AdvancePosition(position)
-	if position.Era > 0 && f.state.peerRevision.Load().contradicts(at, f.Revision()) {
+	if lost := f.state.peerRevision.Load(); position.Era > 0 && lost.contradicts(at, f.Revision()) {
+		if lost.logged.CompareAndSwap(false, true) {
+			f.log.Warn("proof dropped, as the store has lost a configuration", zap.Uint64("revision", uint64(f.Revision())), zap.Uint64("lost", uint64(lost.revision)), zap.String("proof_from", source))
+		}
 		return
 	}
 	if storeMax(&f.state.confirmedAt, int64(at)) {
@@ -103,7 +108,7 @@
 // other router is ahead, its position is sent on the channel that NewerPositions returns. A
 // router of an older era proves nothing.
 func (f *Forwarder) ReceivePeerStatus(at identifier.Instant, from identifier.Router, s Status) {
-	f.recordPeerRevision(clocker.Now(), s.Revision)
+	f.ReceivePeerRevision(clocker.Now(), s.Revision)
 	position, theirs := f.position(), s.storePosition()
 	if position.Before(theirs) {
 		select {
@@ -126,6 +131,8 @@
 	// since is when it was first heard of, and toldAt is when it was last, as an Instant.
 	since  identifier.Instant
 	toldAt atomic.Int64
+	// logged is set once a proof was dropped for it.
+	logged atomic.Bool
 }
 
 // contradicts reports whether a store that had no newer configuration than revision at an
@@ -134,13 +141,13 @@
 	return p != nil && p.revision > revision && at > p.since && at.Sub(identifier.Instant(p.toldAt.Load())) < peerRevisionTTL
 }
 
-// recordPeerRevision records that another router has a configuration.
-func (f *Forwarder) recordPeerRevision(now identifier.Instant, r identifier.Revision) {
+// ReceivePeerRevision records that another router has a configuration.
+func (f *Forwarder) ReceivePeerRevision(now identifier.Instant, r identifier.Revision) {
 	old := f.state.peerRevision.Load()
 	switch {
 	case old != nil && r == old.revision:
 		old.toldAt.Store(int64(now))
-	case r > f.Revision() && (old == nil || r > old.revision):
+	case r > f.Revision() && (old == nil || r > old.revision || now.Sub(identifier.Instant(old.toldAt.Load())) >= peerRevisionTTL):
 		heard := &peerRevision{revision: r, since: now}
 		heard.toldAt.Store(int64(now))
 		f.state.peerRevision.Store(heard)
--- a/informer/informer.go
+++ b/informer/informer.go
@@ -33,6 +33,8 @@
 	// ReceivePeerStatus receives how far another router had followed the store at an
 	// instant.
 	ReceivePeerStatus(at identifier.Instant, from identifier.Router, s forwarder.Status)
+	// ReceivePeerRevision receives the revision of the configuration that another router has.
+	ReceivePeerRevision(now identifier.Instant, r identifier.Revision)
 }
 
 // Relay holds the latest changes of the store, and receives those that other routers
@@ -171,10 +173,16 @@
 	}
 }
 
+// handleReport records a report. Anyone may send one, so that the revision in it counts only if
+// it comes from the address of a listed router.
 func (i *Informer) handleReport(now identifier.Instant, m message, from netip.AddrPort) {
 	i.mu.Lock()
-	defer i.mu.Unlock()
 	i.exchange.receiveReport(now, m, from)
+	listed := i.exchange.peers[m.From].Address == from
+	i.mu.Unlock()
+	if listed {
+		i.cfg.State.ReceivePeerRevision(now, m.Revision)
+	}
 }
 
 func (i *Informer) handleTotal(now identifier.Instant, m message, proofAge time.Duration) (others forwarder.Summary, at identifier.Instant, mostComplete bool) {
--- a/informer/informer_test.go
+++ b/informer/informer_test.go
@@ -69,6 +69,8 @@
 	r.status = s
 }
 
+func (r *fakeState) ReceivePeerRevision(identifier.Instant, identifier.Revision) {}
+
 // snapshot returns the others' running requests at target t, the number of other routers,
 // and the store position in the latest status received.
 func (r *fakeState) snapshot() [3]int {
