reconciler, platform, isolator: what is held until it is written again waits while nobody can write (DRAIN)

Found by the review, with failing tests: what the copy lacks was dropped, and what it has back counted, while the store was away again; the leaving of a later start was forgotten after 2 s, as the copy has the start before; a block that was stored and not read yet was lost with the copy; a block that was made again was taken out of the store when its entry's time was before its lifting. By reading: a target that is removed in the grace after an outage is not brought back, and what the store removes between list and watch of a new era counts at once.

--- a/forwarder/isolation.go
+++ b/forwarder/isolation.go
@@ -85,12 +85,12 @@
 	f.state.isolator.AddStored(now, b)
 }
 
-// ForgetStoredBlock records that the block of a part of prompts is no longer in the store, which
-// has lost it. The block stands and is stored again.
-func (f *Forwarder) ForgetStoredBlock(p isolator.Part) {
+// ForgetStoredBlocks records that the store has lost the blocks of all parts but those listed.
+// These blocks stand and are stored again.
+func (f *Forwarder) ForgetStoredBlocks(listed func(isolator.Part) bool) {
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
-	f.state.isolator.ForgetStored(p)
+	f.state.isolator.ForgetStored(listed)
 }
 
 // RemoveBlock lifts the block of a part of prompts.
--- a/isolator/block.go
+++ b/isolator/block.go
@@ -99,18 +99,22 @@
 		return
 	}
 	if lifted, was := i.lifted[b.Part]; was && b.Since <= lifted {
-		i.unstore[b.Part] = struct{}{}
+		if i.blocks[b.Part] == nil {
+			i.unstore[b.Part] = struct{}{}
+		}
 		return
 	}
 	b.stored, b.settled = len(b.Workspaces), true
 	i.add(b)
 }
 
-// ForgetStored records that the block of a part is no longer in the store, although nobody has
-// lifted it.
-func (i *Isolator) ForgetStored(p Part) {
-	if b := i.blocks[p]; b != nil {
-		b.stored = 0
+// ForgetStored records that the store has the blocks of no other parts than those listed any
+// more, although nobody has lifted the others.
+func (i *Isolator) ForgetStored(listed func(Part) bool) {
+	for p, b := range i.blocks {
+		if !listed(p) {
+			b.stored = 0
+		}
 	}
 }
 
--- a/reconciler/reconciler.go
+++ b/reconciler/reconciler.go
@@ -92,6 +92,20 @@
 	}
 }
 
+// Postpone makes everything that is held be held for longer by a time, in which nobody could
+// write.
+func (r *Reconciler) Postpone(d time.Duration) {
+	for key, until := range r.kept {
+		r.kept[key] = until.Add(d)
+	}
+	for key, h := range r.hidden {
+		if h.until != 0 {
+			h.until = h.until.Add(d)
+			r.hidden[key] = h
+		}
+	}
+}
+
 // Keeps reports whether an entry counts that the copy lacks.
 func (r *Reconciler) Keeps(key string) bool {
 	_, kept := r.kept[key]
