--- a/reconciler/reconciler.go
+++ b/reconciler/reconciler.go
@@ -79,6 +79,33 @@
 	r.hidden[entry.Key] = hiddenEntry{entry: entry, until: until}
 }
 
+// BeginEra makes all entries of the copy count, as those hidden so far are of an older era. The
+// caller must hide those of the new copy.
+func (r *Reconciler) BeginEra() { clear(r.hidden) }
+
+// Retain records the removal of the hidden entries that a complete list does not contain.
+func (r *Reconciler) Retain(now identifier.Instant, listed map[string]bool) {
+	for key := range r.hidden {
+		if !listed[key] {
+			r.RecordRemoval(now, key)
+		}
+	}
+}
+
+// Postpone makes everything that is held be held for longer by a time, in which nobody could
+// write.
+func (r *Reconciler) Postpone(d time.Duration) {
+	for key, until := range r.kept {
+		r.kept[key] = until.Add(d)
+	}
+	for key, h := range r.hidden {
+		if h.until != 0 {
+			h.until = h.until.Add(d)
+			r.hidden[key] = h
+		}
+	}
+}
+
 // Keeps reports whether an entry counts that the copy lacks.
 func (r *Reconciler) Keeps(key string) bool {
 	_, kept := r.kept[key]
