--- a/admitter/target.go
+++ b/admitter/target.go
@@ -11,6 +11,8 @@
 type Target struct {
 	ID   identifier.Target
 	Pool identifier.Pool
+	// Software is the version of its software, empty if it is not known.
+	Software identifier.Software
 	// Address is the address at which it is reached, as host:port.
 	Address string
 	// Slots is how many requests it runs at once, zero for no limit.
