admitter: a request may be pinned to the software of its targets

Cause: targets of several software versions may serve in one pool, and a stream may go on only at the version that began it; the choice of a target knew nothing of versions.

Change: a request that is pinned goes only to targets of its software, on every path of the choice, and is refused with a reason of its own if none of them takes work. Nothing pins a request yet; without that the choice is as before. PoolRefusal takes the request in place of its regions, so that it sees what restricts it; its one use in a test is written so, with the same expectation.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -44,6 +44,9 @@
 	Crashed []identifier.Target
 	// AllowedRegions are the regions of the targets that may be given the request.
 	AllowedRegions permitter.RegionSet
+	// Pinned is set if the request may go only to targets whose software is Software.
+	Pinned   bool
+	Software identifier.Software
 	// LocalDataCentre is the data centre of the router.
 	LocalDataCentre identifier.DataCentre
 	// Seed breaks ties between the targets of a plain service. For a prompt without a
@@ -75,6 +78,9 @@
 	TargetsWarmingUp Refusal = "targets warm up"
 	// TargetsDisallowed means that no target of the pool is in an allowed region.
 	TargetsDisallowed Refusal = "no target is in an allowed region"
+	// SoftwareUnavailable means that no target that accepts work and is not excluded has the
+	// software that the request is pinned to.
+	SoftwareUnavailable Refusal = "no target runs the stream's software version"
 	// ShareExceeded means that the workspace has too much more than others. Choose does
 	// not return it; its caller sets it.
 	ShareExceeded Refusal = "workspace is beyond its share"
@@ -96,6 +102,15 @@
 	PrefillTokens int
 }
 
+// forPinned returns the choice for a request that is pinned or not. A pinned one has no target
+// that it may go to if none that accepts work is left.
+func (c Choice) forPinned(pinned bool) Choice {
+	if pinned && c.Refused == NoTarget {
+		c.Refused = SoftwareUnavailable
+	}
+	return c
+}
+
 // Admitter chooses the targets of one router and holds what the router knows of them. It
 // is not safe for concurrent use.
 type Admitter struct {
@@ -196,7 +211,7 @@
 func (a *Admitter) Choose(now identifier.Instant, req Request) Choice {
 	p := a.pools[req.Pool]
 	if p == nil {
-		return Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
+		return Choice{Refused: NoTarget, Wait: noTargetRetryAfter}.forPinned(req.Pinned)
 	}
 	p.unreported.dropBefore(now.Add(-peerLoadTTL))
 	p.summarise(now, a.processes)
@@ -207,7 +222,7 @@
 		case c.Refused != "" && limited:
 			return Choice{Refused: TargetsLimited, Wait: max(c.Wait, limitedRetryAfter)}
 		case c.Refused == NoTarget:
-			return p.refusal(now, req.AllowedRegions)
+			return p.refusal(now, &req).forPinned(req.Pinned)
 		case c.Refused != "" || a.underLimit(now, req, c.Target):
 			return c
 		}
--- a/admitter/isolate.go
+++ b/admitter/isolate.go
@@ -35,13 +35,13 @@
 }
 
 // isolatedTarget returns the one target for a request that is isolated, nil if all leave, are
-// evacuated or not allowed.
+// evacuated or not permitted.
 func isolatedTarget(p *pool, req Request) *targetState {
 	var only *targetState
 	var highest uint64
 	onlyCrashed := false
 	for _, t := range p.targets {
-		if t.admission.ListedLeaving() || t.admission.LeavingSince() != 0 || t.admission.Evacuated() || !req.AllowedRegions.Allows(t.Region) {
+		if t.admission.ListedLeaving() || t.admission.LeavingSince() != 0 || t.admission.Evacuated() || !req.permits(t) {
 			continue
 		}
 		crashed := slices.Contains(req.Crashed, t.ID)
--- a/admitter/notice.go
+++ b/admitter/notice.go
@@ -68,25 +68,26 @@
 }
 
 // PoolRefusal returns the refusal of requests that no target of a pool can take. It is, in
-// this order: TargetsDisallowed if no target is in an allowed region; NoTarget if a target
-// accepts work or its connections failed; TargetsPausing or TargetsWarmingUp if it is known
+// this order: TargetsDisallowed if no target is in an allowed region; SoftwareUnavailable if
+// none of those has the software that the request is pinned to; NoTarget if a target accepts
+// work or its connections failed; TargetsPausing or TargetsWarmingUp if it is known
 // when the first target accepts work again; TargetsEvacuated if a target is evacuated; else
 // NoTarget. For an unknown pool it returns the zero Choice.
-func (a *Admitter) PoolRefusal(now identifier.Instant, id identifier.Pool, allowed permitter.RegionSet) Choice {
-	if p := a.pools[id]; p != nil {
-		return p.refusal(now, allowed)
+func (a *Admitter) PoolRefusal(now identifier.Instant, req Request) Choice {
+	if p := a.pools[req.Pool]; p != nil {
+		return p.refusal(now, &req)
 	}
 	return Choice{}
 }
 
 // refusal returns the refusal of requests that no target of the pool can take, as
 // PoolRefusal does. That of a large pool is computed once for each summary.
-func (p *pool) refusal(now identifier.Instant, allowed permitter.RegionSet) Choice {
-	if len(p.targets) <= maxScanned || allowed != nil {
-		return p.currentRefusal(now, allowed)
+func (p *pool) refusal(now identifier.Instant, req *Request) Choice {
+	if len(p.targets) <= maxScanned || req.restricted() {
+		return p.currentRefusal(now, req)
 	}
 	if p.summarisedAt == 0 || p.refusedAt == 0 || now < p.refusedAt || now.Sub(p.refusedAt) >= summaryTTL {
-		p.refused, p.refusedAt = p.currentRefusal(now, nil), now
+		p.refused, p.refusedAt = p.currentRefusal(now, &Request{}), now
 	}
 	c := p.refused
 	c.Wait = max(0, c.Wait-now.Sub(p.refusedAt))
@@ -94,12 +95,12 @@
 }
 
 // currentRefusal visits all targets to find the refusal.
-func (p *pool) currentRefusal(now identifier.Instant, allowed permitter.RegionSet) Choice {
+func (p *pool) currentRefusal(now identifier.Instant, req *Request) Choice {
 	c := Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
 	earliest, evacuated, kind := identifier.Instant(0), false, TargetsPausing
 	found := false
 	for _, t := range p.targets {
-		if !allowed.Allows(t.Region) {
+		if !req.permits(t) {
 			continue
 		}
 		found = true
@@ -116,8 +117,8 @@
 		evacuated = evacuated || d.Reason == permitter.Evacuated
 	}
 	switch {
-	case !found && len(p.targets) > 0:
-		return Choice{Refused: TargetsDisallowed, Wait: noTargetRetryAfter}
+	case !found:
+		return p.noneRefusal(req)
 	case earliest == 0 && evacuated:
 		return Choice{Refused: TargetsEvacuated, Wait: noTargetRetryAfter}
 	case earliest == 0:
@@ -126,6 +127,18 @@
 	return Choice{Refused: kind, Wait: earliest.Sub(now)}
 }
 
+// noneRefusal returns the refusal of a request that may go to none of the targets of the pool.
+func (p *pool) noneRefusal(req *Request) Choice {
+	c := Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
+	for _, t := range p.targets {
+		if req.AllowedRegions.Allows(t.Region) {
+			return c.forPinned(req.Pinned)
+		}
+		c.Refused = TargetsDisallowed
+	}
+	return c
+}
+
 // departedTTL is how long an incarnation is remembered that has announced that it leaves
 // and is no longer listed.
 const departedTTL = 10 * time.Minute
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -113,10 +113,19 @@
 	p.shortestQueues[i] = t
 }
 
-// eligible reports whether target t accepts work, is allowed for the request, and is not
+// permits reports whether the region and the software of target t are among those that the
+// request may go to.
+func (r *Request) permits(t *targetState) bool {
+	return r.AllowedRegions.Allows(t.Region) && (!r.Pinned || t.Software == r.Software)
+}
+
+// restricted reports whether the request may not go to all targets of its pool.
+func (r *Request) restricted() bool { return r.AllowedRegions != nil || r.Pinned }
+
+// eligible reports whether target t accepts work, is permitted for the request, and is not
 // excluded.
 func eligible(now identifier.Instant, t *targetState, req *Request) bool {
-	return req.AllowedRegions.Allows(t.Region) && t.acceptsWork(now) && !slices.Contains(req.Exclude, t.ID)
+	return req.permits(t) && t.acceptsWork(now) && !slices.Contains(req.Exclude, t.ID)
 }
 
 // healthy reports whether target t is as good as the others. No peer may have reported
@@ -137,9 +146,9 @@
 
 // scanned returns the targets among which a request looks for one if none of those that it
 // prefers is eligible: all of a small pool, and those of the summary of a large one. A
-// request with a restriction needs all, as the summary need not hold one that is allowed.
+// request with a restriction needs all, as the summary need not hold one that it may go to.
 func (p *pool) scanned(req *Request) []*targetState {
-	if len(p.targets) <= maxScanned || req.AllowedRegions != nil {
+	if len(p.targets) <= maxScanned || req.restricted() {
 		return p.targets
 	}
 	return p.open
--- a/admitter/regions_test.go
+++ b/admitter/regions_test.go
@@ -52,7 +52,7 @@
 				c := a.Choose(second, req)
 				g.Expect(c.Refused).To(Equal(TargetsDisallowed))
 				g.Expect(c.Wait).To(BeNumerically(">", 0))
-				g.Expect(a.PoolRefusal(second, "p", none).Refused).To(Equal(TargetsDisallowed))
+				g.Expect(a.PoolRefusal(second, Request{Pool: "p", AllowedRegions: none}).Refused).To(Equal(TargetsDisallowed))
 			}
 		})
 	}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -110,7 +110,7 @@
 // allowed, the request ends at once and takes nothing from the retry budget.
 func (f *Forwarder) afterNotRun(c *call, t *selectedTarget) *errorAnswer {
 	f.state.mu.Lock()
-	choice := f.state.admitter.PoolRefusal(clocker.Coarse(), c.pool, c.allowedRegions)
+	choice := f.state.admitter.PoolRefusal(clocker.Coarse(), admitter.Request{Pool: c.pool, AllowedRegions: c.allowedRegions})
 	f.state.mu.Unlock()
 	switch choice.Refused {
 	case admitter.TargetsPausing, admitter.TargetsEvacuated, admitter.TargetsWarmingUp, admitter.TargetsDisallowed:
