--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -51,6 +51,8 @@
 	electedFor isolator.Part
 	// memory is the memory reserved for the request's body and answer.
 	memory reservation
+	// pin is the software to whose targets the request may go.
+	pin softwarePin
 	// stream is the state of the answer's stream, nil before its first event.
 	stream *stream
 	// seed is a random number that selects the request's pool and spreads requests
@@ -285,6 +287,7 @@
 		Pool: c.pool, Model: c.info.Model, Segments: c.info.PromptPrefix, PromptTokens: c.info.PromptTokens, MaxOutputTokens: c.info.MaxOutputTokens,
 		TargetMemory: pool.MemoryTokens, Exclude: c.tried, LocalDataCentre: f.cfg.DataCentre, Seed: c.seed,
 		GapObjective: pool.GapObjective, EventTokens: pool.EventTokens, AllowedRegions: c.allowedRegions,
+		Pinned: c.pin.set, Software: c.pin.software,
 		WithinShare: shareRatio >= 1, MaxWait: latencyLimit(c.route.LatencyObjective, shareRatio),
 	}
 }
@@ -364,6 +367,8 @@
 		return "No target is in a region that is allowed for this request."
 	case admitter.TargetsWarmingUp:
 		return "All targets warm up."
+	case admitter.SoftwareUnavailable:
+		return "The version that began this stream has no target."
 	default:
 		return "All targets are busy."
 	}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -80,13 +80,14 @@
 
 // maySend reports whether the request may still be sent to target t. Since it was
 // selected, it may have stopped taking requests, a part of the prompt may have been
-// blocked, or another configuration may not allow its region. It sets t.withheld if not.
+// blocked, it may have been listed with other software than that of the stream, or another
+// configuration may not allow its region. It sets t.withheld if not.
 func (f *Forwarder) maySend(c *call, t *selectedTarget) bool {
 	now := clocker.Coarse()
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
 	target, _ := t.sent.Target()
-	allowed := c.allowedRegions.Allows(target.Region) && f.state.admitter.RecheckAdmission(now, t.sent).Open()
+	allowed := c.allowedRegions.Allows(target.Region) && f.keepsSoftware(c, t) && f.state.admitter.RecheckAdmission(now, t.sent).Open()
 	t.withheld = !allowed || f.verdict(now, c).State == isolator.Blocked
 	return !t.withheld
 }
@@ -106,14 +107,14 @@
 
 // afterNotRun decides what follows when target t did not run a request. It returns nil
 // if the request may be sent to another target, and an answer for the caller otherwise.
-// If no target of the pool takes requests, as they pause, warm up, are evacuated or not
-// allowed, the request ends at once and takes nothing from the retry budget.
+// If no target of the pool takes requests, as they pause, warm up, are evacuated, not
+// allowed or of other software, the request ends at once and takes nothing from the retry budget.
 func (f *Forwarder) afterNotRun(c *call, t *selectedTarget) *errorAnswer {
 	f.state.mu.Lock()
-	choice := f.state.admitter.PoolRefusal(clocker.Coarse(), admitter.Request{Pool: c.pool, AllowedRegions: c.allowedRegions})
+	choice := f.state.admitter.PoolRefusal(clocker.Coarse(), admitter.Request{Pool: c.pool, AllowedRegions: c.allowedRegions, Pinned: c.pin.set, Software: c.pin.software})
 	f.state.mu.Unlock()
 	switch choice.Refused {
-	case admitter.TargetsPausing, admitter.TargetsEvacuated, admitter.TargetsWarmingUp, admitter.TargetsDisallowed:
+	case admitter.TargetsPausing, admitter.TargetsEvacuated, admitter.TargetsWarmingUp, admitter.TargetsDisallowed, admitter.SoftwareUnavailable:
 		c.choice = choice
 		return f.correctStatus(c, busyAnswer(choice))
 	}
--- a/forwarder/stall.go
+++ b/forwarder/stall.go
@@ -47,12 +47,15 @@
 
 // watchStall starts to watch the stream of an answer. A stream that no other target can
 // resume is not watched, however slow it is.
-func (f *Forwarder) watchStall(c *call, a *exchanger.Answer) *stallWatch {
+func (f *Forwarder) watchStall(c *call, t *selectedTarget, a *exchanger.Answer) *stallWatch {
 	watch := &stallWatch{timeout: c.route.stallTimeout()}
 	if !c.route.Resumable || c.runs >= c.route.MaxRuns {
 		return watch
 	}
 	req := f.targetRequirements(c, 1)
+	if target, listed := t.sent.Target(); listed {
+		req.Pinned, req.Software = true, target.Software
+	}
 	pool := c.pool
 	watch.timer = time.AfterFunc(watch.timeout, func() {
 		reporter.Guard(f.log, "look at a stream", func() { f.checkStall(watch, pool, req, a) })
--- a/forwarder/stream.go
+++ b/forwarder/stream.go
@@ -39,7 +39,7 @@
 	}
 	order := &eventOrder{position: c.stream.position}
 	pending := &eventBuffer{memory: &c.memory}
-	watch := f.watchStall(c, a)
+	watch := f.watchStall(c, t, a)
 	defer watch.stop()
 	defer f.resetWhenCut(c.r)()
 	buf := make([]byte, streamReadSize)
@@ -78,9 +78,9 @@
 }
 
 // afterRelayError decides what follows when events cannot be relayed: the caller has
-// left, its time has passed, or the events are out of order.
+// left, its time has passed, the events are out of order, or their target has changed.
 func (f *Forwarder) afterRelayError(ctx context.Context, c *call, t *selectedTarget, cause error) (admitter.Result, *errorAnswer) {
-	if errors.Is(cause, errMissingEvent) {
+	if errors.Is(cause, errMissingEvent) || errors.Is(cause, errTargetChanged) {
 		return f.afterTruncated(c, t, cause.Error())
 	}
 	if f.requestCtx.Err() != nil || c.r.Context().Err() == nil && ctx.Err() != nil {
@@ -100,7 +100,8 @@
 
 // relayEvents writes the complete events in pending to the caller, without those that
 // it already has. If one of them is out of order, it writes those before it and returns
-// errMissingEvent. The stream's position moves only with what was written.
+// errMissingEvent. It writes none and returns errTargetChanged if it is not known that their
+// target has the software of the stream. The stream's position moves only with what was written.
 func (f *Forwarder) relayEvents(c *call, t *selectedTarget, a *exchanger.Answer, pending *eventBuffer, order *eventOrder, watch *stallWatch) error {
 	defer pending.compact()
 	next := *order
@@ -125,6 +126,9 @@
 		return orderErr
 	}
 	if end > start {
+		if f.targetChanged(c, t) {
+			return errTargetChanged
+		}
 		if err := f.writeEvents(c, t, a, pending.data[start:end]); err != nil {
 			c.recordConnError(errors.Wrap(err, "write events to the caller"))
 			return errCallerGone
@@ -139,6 +143,7 @@
 func (f *Forwarder) writeEvents(c *call, t *selectedTarget, a *exchanger.Answer, events []byte) error {
 	f.recordFirstByte(c, t)
 	if c.stream.writes == 0 {
+		c.pinTo(t)
 		c.status = a.Status
 		f.closeIfStopping(c.w.Header())
 		copyHeader(c.w.Header(), a.Header)
--- a/forwarder/versions_test.go
+++ b/forwarder/versions_test.go
@@ -177,3 +177,26 @@
 		})
 	}
 }
+
+// Guards against a request that is written to a target which was listed with other software
+// after it had been selected.
+func TestTargetOfOtherSoftwareGetsNoPinnedRequest(t *testing.T) {
+	for name, change := range map[string]func(f *fleet){
+		"other software": func(f *fleet) { f.targets[0].Software = "2"; f.SetTargets(f.targets) },
+		"not listed":     func(f *fleet) { f.SetTargets(nil) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			f := newSoftwareFleet(t, first(streamWhole), "1")
+			ctx, c := f.prepareCall(t)
+			c.pin = softwarePin{set: true, software: "1"}
+			selected, e := f.selectTarget(c)
+			g.Expect(e).To(BeNil())
+			change(f)
+			done, _ := f.attempt(ctx, c, selected)
+			g.Expect(done).To(BeFalse())
+			g.Expect(f.requestsSeen()).To(BeEmpty())
+			g.Expect(c.mayHaveRun).To(BeFalse())
+		})
+	}
+}
