--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -62,9 +62,7 @@
 		for n := range rapid.IntRange(10, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
 			if rapid.IntRange(0, 5).Draw(t, "plan") == 0 {
-				w := weights{identifier.Software(rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "a")): 1 + rapid.IntRange(0, 9).Draw(t, "wa")}
-				w[identifier.Software(rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "b"))] = 1 + rapid.IntRange(0, 9).Draw(t, "wb")
-				made = append(made, Plan{Number: uint64(len(made) + 1), Weights: w})
+				made = append(made, Plan{Number: uint64(len(made) + 1), Weights: drawWeights(t)})
 			}
 			for i, h := range list {
 				if knows[i] < len(made) && behind[i] == 0 {
@@ -86,12 +84,7 @@
 				}
 			}
 			for id, v := range began {
-				for i, h := range list {
-					since := beganAt[id].Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "before")) * time.Millisecond)
-					if found, ok := h.Began(since, id); ok && found != v {
-						t.Fatalf("stream %s began at version %s, and router %d takes it up at %s", id, v, i, found)
-					}
-				}
+				checkTakeUps(t, list, id, v, beganAt[id])
 				if now.Sub(beganAt[id]) > 20*time.Second {
 					delete(began, id)
 				}
@@ -100,6 +93,27 @@
 	})
 }
 
+// drawWeights draws the weights of a plan of one or two versions.
+func drawWeights(t *rapid.T) weights {
+	w := weights{}
+	for range 2 {
+		v := identifier.Software(rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "version"))
+		w[v] = 1 + rapid.IntRange(0, 9).Draw(t, "weight")
+	}
+	return w
+}
+
+// checkTakeUps fails the test if a router takes a stream up at another version than v, which
+// began it.
+func checkTakeUps(t *rapid.T, routers []*History, id identifier.Request, v identifier.Software, beganAt identifier.Instant) {
+	for i, h := range routers {
+		since := beganAt.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "before")) * time.Millisecond)
+		if found, ok := h.Began(since, id); ok && found != v {
+			t.Fatalf("stream %s began at version %s, and router %d takes it up at %s", id, v, i, found)
+		}
+	}
+}
+
 func TestStreamsOfOneVersionAreTakenUpAfterRestart(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHistory(Config{Settle: settle})
