assigner: plans that were dropped before their time are forgotten once they are past

Cause: a history that had ever known more than 64 plans told of no stream any more where it began, unless the caller knew a time since when, as the instant until which dropped plans counted was never cleared.

Change: Expire clears it once it is past.

Evidence: TestDroppedPlansAreForgotten failed before and passes.

--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -180,6 +180,22 @@
 	g.Expect(ok).To(BeTrue())
 }
 
+// Once too many plans had been known, streams of which it was not known when they began were
+// never taken up again.
+func TestDroppedPlansAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHistory(Config{Settle: settle})
+	for n := range uint64(maxPlans + 5) {
+		h.Learn(start, []Plan{{Number: n + 1, Weights: weights{"1": 1}}})
+	}
+	h.Expire(start.Add(time.Minute), time.Minute)
+	_, ok := h.Began(0, "a")
+	g.Expect(ok).To(BeFalse())
+	h.Expire(start.Add(time.Minute+2*settle+1), time.Minute)
+	_, ok = h.Began(0, "a")
+	g.Expect(ok).To(BeTrue())
+}
+
 func TestNextPlanFollowsSlots(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHistory(Config{Settle: settle})
--- a/assigner/history.go
+++ b/assigner/history.go
@@ -23,7 +23,8 @@
 type History struct {
 	cfg   Config
 	plans []knownPlan
-	// overflowed is set once plans were dropped before their time, until it is past.
+	// overflowedUntil is until when streams may have begun by plans that were dropped before
+	// their time, zero for none.
 	overflowedUntil identifier.Instant
 }
 
@@ -127,8 +128,12 @@
 	return h.agreed(h.plans[i:], id)
 }
 
-// Expire drops the plans by which no stream began within a time.
+// Expire drops the plans by which no stream began within a time, and forgets those that were
+// dropped before.
 func (h *History) Expire(now identifier.Instant, memory time.Duration) {
+	if h.overflowedUntil < now.Add(-memory) {
+		h.overflowedUntil = 0
+	}
 	for len(h.plans) > 1 && h.endOf(0) < now.Add(-memory) {
 		h.plans = h.plans[1:]
 	}
