--- a/forwarder/accesslog.go
+++ b/forwarder/accesslog.go
@@ -121,11 +121,14 @@
 		zap.String("proof_from", c.proofSource), zap.Int64("position", c.position.Revision), zap.Int64("era", c.position.Era))
 }
 
-// appendRoute appends the fields of a request's route.
+// appendRoute appends the fields of a request's route, and of the stream that it takes up.
 func (c *call) appendRoute(fields []zap.Field) []zap.Field {
 	if c.route != nil {
 		fields = append(fields, zap.String("kind", string(c.route.Kind)), zap.String("pool", string(c.pool)))
 	}
+	if c.takesUp() {
+		fields = append(fields, zap.String("resumes", boundText(string(c.info.Resumes))), zap.String("software", string(c.pin.software)))
+	}
 	return fields
 }
 
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -207,6 +207,9 @@
 	}
 	f.countRequest(now, pool)
 	f.recordDemand(now, c)
+	if e := f.pinVersion(c); e != nil {
+		return e
+	}
 	release := f.awaitTrial(ctx, c)
 	defer release()
 	for {
@@ -317,7 +320,7 @@
 	}
 	c.shareRatio, c.latencyLimit, c.choice = shareRatio, req.MaxWait, choice
 	if choice.Refused != "" {
-		return nil, f.correctStatus(c, busyAnswer(choice))
+		return nil, f.correctStatus(c, c.busyAnswer(choice))
 	}
 	t := &selectedTarget{choice: choice, address: f.state.addresses[choice.Target], sent: f.state.admitter.StartAttempt(now, req, choice), outcome: isolator.Ended}
 	f.startRun(now, c, t)
@@ -368,7 +371,7 @@
 	case admitter.TargetsWarmingUp:
 		return "All targets warm up."
 	case admitter.SoftwareUnavailable:
-		return "The version that began this stream has no target."
+		return reasonVersionNoPlace
 	default:
 		return "All targets are busy."
 	}
--- a/forwarder/dialect.go
+++ b/forwarder/dialect.go
@@ -40,6 +40,9 @@
 	PromptPrefix []admitter.PromptSegment
 	// LastEventID is the ID of the last event of a stream that the caller has received.
 	LastEventID string
+	// Resumes is the ID of the request that brought the first event of the stream that is
+	// taken up, empty if none.
+	Resumes identifier.Request
 }
 
 // Attempt holds the values that are sent to a target in the header of one attempt.
--- a/forwarder/fleet_test.go
+++ b/forwarder/fleet_test.go
@@ -26,7 +26,7 @@
 type testDialect struct{}
 
 func (testDialect) ReadRequest(h http.Header) RequestInfo {
-	f := RequestInfo{ID: identifier.Request(h.Get("Id")), Key: h.Get("Key"), LastEventID: h.Get("After"), Model: h.Get("Model")}
+	f := RequestInfo{ID: identifier.Request(h.Get("Id")), Key: h.Get("Key"), LastEventID: h.Get("After"), Resumes: identifier.Request(h.Get("Resumes")), Model: h.Get("Model")}
 	if ms, err := strconv.Atoi(h.Get("Patience")); err == nil {
 		f.Timeout = time.Duration(ms) * time.Millisecond
 	}
--- a/forwarder/notice.go
+++ b/forwarder/notice.go
@@ -116,7 +116,7 @@
 	switch choice.Refused {
 	case admitter.TargetsPausing, admitter.TargetsEvacuated, admitter.TargetsWarmingUp, admitter.TargetsDisallowed, admitter.SoftwareUnavailable:
 		c.choice = choice
-		return f.correctStatus(c, busyAnswer(choice))
+		return f.correctStatus(c, c.busyAnswer(choice))
 	}
 	return f.checkRetry(c, t, "target did not run it")
 }
--- a/forwarder/snapshot.go
+++ b/forwarder/snapshot.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"math"
 	"net"
 	"sort"
 	"strings"
@@ -21,6 +22,9 @@
 	workspaceRegions map[identifier.Workspace]permitter.RegionSet
 	// coldRates holds what cold targets of the pools that have such stand.
 	coldRates map[identifier.Pool]permitter.ColdRate
+	// streamTimeouts holds the longest time limit of the resumable streaming routes of each pool
+	// that serves such, noTimeout if one has none.
+	streamTimeouts map[identifier.Pool]time.Duration
 	// routes holds the routes of each host, the longest path prefix first.
 	routes map[string][]*Route
 }
@@ -125,6 +129,8 @@
 		keys:      map[string]identifier.Workspace{},
 		routes:    map[string][]*Route{},
 		coldRates: map[identifier.Pool]permitter.ColdRate{},
+
+		streamTimeouts: map[identifier.Pool]time.Duration{},
 	}
 	for _, p := range pools {
 		s.pools[p.ID] = p
@@ -144,6 +150,7 @@
 	for i := range routes {
 		s.addRoute(&routes[i])
 		s.addGapObjective(&routes[i])
+		s.addStreamTimeout(&routes[i])
 	}
 	for _, list := range s.routes {
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].Prefix) > len(list[j].Prefix) })
@@ -167,6 +174,29 @@
 	}
 }
 
+// noTimeout stands for the time limit of a route that sets none.
+const noTimeout = time.Duration(math.MaxInt64)
+
+// addStreamTimeout applies the time limit of a route to the pools that serve it, if its streams
+// may be resumed.
+func (s *Snapshot) addStreamTimeout(r *Route) {
+	if !r.resumesStreams() {
+		return
+	}
+	timeout := r.Timeout
+	if timeout <= 0 {
+		timeout = noTimeout
+	}
+	for _, w := range r.Split {
+		if w.Weight > 0 {
+			s.streamTimeouts[w.Pool] = max(s.streamTimeouts[w.Pool], timeout)
+		}
+	}
+}
+
+// resumesStreams reports whether the answers are streams of events that may be resumed.
+func (r *Route) resumesStreams() bool { return r.Stream && r.Resumable }
+
 // Match returns the route with the longest path prefix that matches a request, or nil.
 // The port and case of host are ignored.
 func (s *Snapshot) Match(host, path string) *Route {
--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -54,6 +54,8 @@
 	// malformedColds holds the listed targets that have said how long they are cold in a
 	// way that could not be parsed.
 	malformedColds map[identifier.Target]bool
+	// histories holds the plans of each pool by which streams begin.
+	histories map[identifier.Pool]*poolHistory
 	// evacuated holds the evacuated data centres.
 	evacuated map[identifier.DataCentre]bool
 	// peers is the number of other routers.
@@ -80,6 +82,7 @@
 		fleetSizes:      fleetSizes{memory: fleetMemory},
 		warmUpFleet:     fleetSizes{memory: warmUpFleetMemory},
 		crashChecks:     map[isolator.CrashID]*crashCheck{},
+		histories:       map[identifier.Pool]*poolHistory{},
 	}
 	b.admitter.SetProcesses(defaultFleetSize)
 	b.admitter.SetSeed(rand.Uint64())
--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -1,6 +1,24 @@
 package forwarder
 
-import "buckthorndrum/identifier"
+import (
+	"net/http"
+	"time"
+
+	"buckthorndrum/admitter"
+	"buckthorndrum/clocker"
+	"buckthorndrum/identifier"
+)
+
+// The reasons for which streams are refused since targets of several software versions serve.
+const (
+	reasonBeginningUnknown = "The version at which this stream is to begin is not known."
+	reasonBeginningNoPlace = "The version at which this stream is to begin has no target."
+	reasonVersionUnknown   = "The version that began this stream is not known."
+	reasonVersionNoPlace   = "The version that began this stream has no target."
+)
+
+// unknownRetryAfter is when a stream is to be asked for again whose version is not known.
+const unknownRetryAfter = 500 * time.Millisecond
 
 // softwarePin is the software to whose targets a request may go, if it is set.
 type softwarePin struct {
@@ -43,5 +61,88 @@
 	if !listed {
 		return false
 	}
-	return now.Software != sent.Software || c.streamStarted() && now.Incarnation != sent.Incarnation
+	return now.Software != sent.Software || (c.streamStarted() || c.takesUp()) && now.Incarnation != sent.Incarnation
+}
+
+// takesUp reports whether the request takes a stream up that has begun in another answer.
+func (c *call) takesUp() bool {
+	return c.route != nil && c.route.resumesStreams() && c.info.LastEventID != ""
+}
+
+// busyAnswer returns the answer for the request if no target may be given it. One that begins a
+// stream may come back at once: its next attempt may begin at another version.
+func (c *call) busyAnswer(choice admitter.Choice) *errorAnswer {
+	if choice.Refused == admitter.SoftwareUnavailable && !c.takesUp() && !c.streamStarted() {
+		return &errorAnswer{status: http.StatusServiceUnavailable, reason: reasonBeginningNoPlace, retryAfter: minRetryAfter}
+	}
+	return busyAnswer(choice)
+}
+
+// versionUnknown returns the answer for a request for a stream whose version is not known.
+func versionUnknown(reason string) *errorAnswer {
+	return &errorAnswer{status: http.StatusServiceUnavailable, reason: reason, retryAfter: unknownRetryAfter}
+}
+
+// pinVersion pins a request for a stream that may be resumed to the version at which the stream
+// begins, or began in another answer. It returns an answer for the caller if that is not known.
+// The proof of freshness is read before the plans, as one that is read later may be that of
+// newer plans.
+func (f *Forwarder) pinVersion(c *call) *errorAnswer {
+	if !c.route.resumesStreams() {
+		return nil
+	}
+	confirmedAt := f.confirmedAt()
+	now := clocker.Now()
+	f.state.mu.Lock()
+	defer f.state.mu.Unlock()
+	if c.takesUp() {
+		return f.pinTakeUp(now, confirmedAt, c)
+	}
+	return f.pinBeginning(now, c)
+}
+
+// pinBeginning pins a request that begins a stream to the version that the plan of its pool
+// gives it. Without a plan it is not pinned. The caller holds f.state.mu.
+func (f *Forwarder) pinBeginning(now identifier.Instant, c *call) *errorAnswer {
+	h := f.state.histories[c.pool]
+	if h == nil || h.empty() {
+		return nil
+	}
+	v, ok := h.Pick(now, c.info.ID)
+	if !ok {
+		return versionUnknown(reasonBeginningUnknown)
+	}
+	c.pin = softwarePin{set: true, software: v}
+	return nil
+}
+
+// pinTakeUp pins a request that takes a stream up to the version that began the stream. The
+// caller holds f.state.mu.
+func (f *Forwarder) pinTakeUp(now, confirmedAt identifier.Instant, c *call) *errorAnswer {
+	fresh := confirmedAt > 0 && now.Sub(confirmedAt) <= f.settleTime()
+	h := f.state.histories[c.pool]
+	if h == nil || h.empty() {
+		return f.checkUnplannedTakeUp(fresh, c)
+	}
+	v, ok := h.began(f.beganSince(now, c), c.info.Resumes)
+	if !fresh || !ok {
+		return versionUnknown(reasonVersionUnknown)
+	}
+	c.pin = softwarePin{set: true, software: v}
+	return nil
 }
+
+// checkUnplannedTakeUp returns nil if a stream of a pool that has no plans may be taken up: all
+// targets have the same software, and if that has a name, this router knows that there are no
+// plans. The caller holds f.state.mu.
+func (f *Forwarder) checkUnplannedTakeUp(fresh bool, c *call) *errorAnswer {
+	software := f.state.admitter.Software(c.pool)
+	if len(software) > 1 || len(software) == 1 && !software[""] && !fresh {
+		return versionUnknown(reasonVersionUnknown)
+	}
+	return nil
+}
+
+// beganSince returns the earliest instant at which the stream that a request takes up may have
+// begun, zero if it is not known.
+func (f *Forwarder) beganSince(identifier.Instant, *call) identifier.Instant { return 0 }
