forwarder: since when a stream may have begun, by the time that its caller has left

Cause: all plans that are kept count when a stream is taken up, although most streams began by the newest.

Change: the longest time limit that callers state for new streams of a kind, less what a take-up states, is for how long its stream may have gone on; plans that no router used then do not count. Half a second and the age of the proof up to which keys are accepted are added.

--- a/forwarder/state.go
+++ b/forwarder/state.go
@@ -56,6 +56,8 @@
 	malformedColds map[identifier.Target]bool
 	// histories holds the plans of each pool by which streams begin.
 	histories map[identifier.Pool]*poolHistory
+	// timeLimits holds the time limits of requests for new streams.
+	timeLimits timeLimits
 	// evacuated holds the evacuated data centres.
 	evacuated map[identifier.DataCentre]bool
 	// peers is the number of other routers.
--- a/forwarder/takeups_test.go
+++ b/forwarder/takeups_test.go
@@ -262,14 +262,18 @@
 }
 
 const (
-	routersSettle = 400 * time.Millisecond
-	followDelay   = 100 * time.Millisecond
+	routersSettle   = 400 * time.Millisecond
+	routersProofAge = 600 * time.Millisecond
+	followDelay     = 100 * time.Millisecond
+	// callersLimit is how long a caller waits for a stream, over all its requests.
+	callersLimit = 3 * time.Second
 )
 
 // start starts the router i, which follows the store until done is closed.
 func (r *routers) start(i int, done chan struct{}) {
-	f := newFleet(r.t)
-	f.settleWithin(routersSettle)
+	cfg := testConfig(r.t)
+	cfg.MaxRefusalAge, cfg.MaxProofAge = routersSettle, routersProofAge
+	f := newFleetWith(r.t, cfg)
 	f.SetTargets(r.targets.targets)
 	r.follow(f)
 	r.mu.Lock()
@@ -316,12 +320,14 @@
 	return r.list[rand.IntN(len(r.list))]
 }
 
-// stream has a caller ask for a stream, and take it up at any router until it is whole or was
-// refused often. It returns the events and how many requests brought some.
+// stream has a caller ask for a stream, and take it up at any router until it is whole or
+// its time limit has passed. It returns the events and how many requests brought some.
 func (r *routers) stream(id identifier.Request) (body string, answers int) {
-	for try := range 20 {
+	until := time.Now().Add(callersLimit)
+	for try := 0; time.Until(until) > 0; try++ {
 		f, events := r.any(), strings.Count(body, "id: ")
 		req := f.beginning(id + identifier.Request(fmt.Sprintf("-%d", try)))
+		req.Header.Set("Patience", strconv.FormatInt(time.Until(until).Milliseconds(), 10))
 		if events > 0 {
 			req.Header.Set("After", strconv.Itoa(events))
 			req.Header.Set("Resumes", string(id))
--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -124,6 +124,7 @@
 // pinBeginning pins a request that begins a stream to the version that the plan of its pool
 // gives it. Without a plan it is not pinned. The caller holds f.state.mu.
 func (f *Forwarder) pinBeginning(now identifier.Instant, c *call) *errorAnswer {
+	f.state.timeLimits.record(c.route.Kind, c.info.Timeout)
 	h := f.state.histories[c.pool]
 	if h == nil || h.empty() {
 		return nil
@@ -144,7 +145,7 @@
 	if h == nil || h.empty() {
 		return f.checkUnplannedTakeUp(fresh, c)
 	}
-	v, ok := h.began(f.beganSince(now, c), c.info.Resumes)
+	v, ok := h.began(f.beganSince(c), c.info.Resumes)
 	if !fresh || !ok {
 		return versionUnknown(reasonVersionUnknown)
 	}
@@ -163,6 +164,19 @@
 	return nil
 }
 
+// beganMargin is how much earlier than its time limits say a stream may have begun.
+const beganMargin = 500 * time.Millisecond
+
 // beganSince returns the earliest instant at which the stream that a request takes up may have
-// begun, zero if it is not known.
-func (f *Forwarder) beganSince(identifier.Instant, *call) identifier.Instant { return 0 }
+// begun by a plan that was in force, zero if it is not known. A caller has the time limit of its
+// first request for all of them, and states what is left of it. A router may use a plan that
+// others have replaced until its proof of freshness is too old for keys. The caller holds
+// f.state.mu.
+func (f *Forwarder) beganSince(c *call) identifier.Instant {
+	elapsed, ok := f.state.timeLimits.elapsed(c.route.Kind, c.info.Timeout)
+	maxProofAge := f.state.tunables.Load().MaxProofAge
+	if !ok || maxProofAge <= 0 || c.route.Public {
+		return 0
+	}
+	return max(0, c.earliestArrival.Add(-elapsed-beganMargin-maxProofAge))
+}
