assigner, forwarder: a longer time in which routers know plans holds for plans that are known

Cause: the history of a pool kept the time that was in the settings when it was made. After it had become longer, a plan was in force before all routers knew it.

Change: it is raised with the settings, and not lowered while the process runs, as others may not have the shorter one yet.

Evidence: TestSettleIsOnlyLengthened is new.

--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -225,6 +225,21 @@
 	g.Expect(v).To(BeEquivalentTo("1"))
 }
 
+func TestSettleIsOnlyLengthened(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHistory(Config{Settle: settle})
+	h.Learn(start, []Plan{{Number: 1, Weights: weights{"1": 1}}})
+	h.Learn(start.Add(time.Second), []Plan{{Number: 2, Weights: weights{"2": 1}}})
+	h.LengthenSettle(settle / 2)
+	v, _ := h.Pick(start.Add(settle), "a")
+	g.Expect(v).To(BeEquivalentTo("1"))
+	h.LengthenSettle(2 * settle)
+	v, _ = h.Pick(start.Add(2*settle), "a")
+	g.Expect(v).To(BeEquivalentTo("1"))
+	v, _ = h.Pick(start.Add(time.Second+2*settle), "a")
+	g.Expect(v).To(BeEquivalentTo("2"))
+}
+
 func TestNextPlanFollowsSlots(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHistory(Config{Settle: settle})
--- a/assigner/history.go
+++ b/assigner/history.go
@@ -42,6 +42,10 @@
 // NewHistory returns an empty history.
 func NewHistory(cfg Config) *History { return &History{cfg: cfg} }
 
+// LengthenSettle raises the time within which all routers know a new plan to settle. A shorter
+// time changes nothing, as other routers may not have it yet.
+func (h *History) LengthenSettle(settle time.Duration) { h.cfg.Settle = max(h.cfg.Settle, settle) }
+
 // Learn adds the plans that are not known yet. They must be valid. When a plan was made that
 // is older than one that is known is not known.
 func (h *History) Learn(now identifier.Instant, plans []Plan) (changed bool) {
--- a/forwarder/plans.go
+++ b/forwarder/plans.go
@@ -84,6 +84,7 @@
 		h = &poolHistory{History: assigner.NewHistory(assigner.Config{Settle: f.settleTime()})}
 		f.state.histories[pool] = h
 	}
+	h.LengthenSettle(f.settleTime())
 	h.Learn(now, recorded)
 	if memory, streams := f.planMemory(pool); streams {
 		h.Expire(now, memory)
