--- a/forwarder/accesslog.go
+++ b/forwarder/accesslog.go
@@ -70,6 +70,9 @@
 		f.metrics.firstByte.Observe(c.firstByteAt.Sub(c.arrived).Seconds())
 	}
 	f.countLate(c, outcome)
+	if cause, refused := versionCauses[c.reason]; refused {
+		f.metrics.versions.WithLabelValues(cause).Inc()
+	}
 	entry := f.log.Check(f.levelOf(outcome), "request ended")
 	if entry == nil {
 		return
--- a/forwarder/metrics.go
+++ b/forwarder/metrics.go
@@ -19,6 +19,7 @@
 	attempts  *prometheus.CounterVec
 	notices   *prometheus.CounterVec
 	late      *prometheus.CounterVec
+	versions  *prometheus.CounterVec
 	crashes   prometheus.Counter
 	firstByte prometheus.Histogram
 	duration  prometheus.Histogram
@@ -37,12 +38,13 @@
 		attempts:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_sendings_total", Help: "Requests sent to targets, by result."}, []string{"result"}),
 		notices:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_words_total", Help: "What targets said in answers of the work that they want."}, []string{"word"}),
 		late:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_late_total", Help: "Complete answers that missed an objective of their route, by what was late."}, []string{"cause"}),
+		versions:  prometheus.NewCounterVec(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_streams_refused_total", Help: "Streams refused since targets of several versions serve, by why."}, []string{"cause"}),
 		crashes:   prometheus.NewCounter(prometheus.CounterOpts{Name: "buckthorndrum_forwarder_target_crashes_total", Help: "Targets that ended while they ran requests of this router."}),
 		firstByte: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "buckthorndrum_forwarder_first_byte_seconds", Help: "Time from a request's arrival to the first part of its answer.", Buckets: buckets}),
 		duration:  prometheus.NewHistogram(prometheus.HistogramOpts{Name: "buckthorndrum_forwarder_request_seconds", Help: "Time from a request's arrival to its end.", Buckets: buckets}),
 		loadAge:   prometheus.NewHistogram(prometheus.HistogramOpts{Name: "buckthorndrum_forwarder_load_age_seconds", Help: "Age of what other routers have in flight when a target is chosen.", Buckets: buckets}),
 	}
-	m.registry.MustRegister(m.outcomes, m.attempts, m.notices, m.late, m.crashes, m.firstByte, m.duration, m.loadAge)
+	m.registry.MustRegister(m.outcomes, m.attempts, m.notices, m.late, m.versions, m.crashes, m.firstByte, m.duration, m.loadAge)
 	m.registerQueueGauges(f)
 	m.gauge("buckthorndrum_forwarder_config_revision", "Configuration revision in force.", func() float64 { return float64(f.Revision()) })
 	m.gauge("buckthorndrum_forwarder_proof_age_seconds", "Age of the proof that the configuration is the newest.", func() float64 {
--- a/forwarder/takeups_test.go
+++ b/forwarder/takeups_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"sync"
@@ -212,6 +213,18 @@
 	g.Expect(c.exemptFromShares()).To(BeFalse())
 }
 
+func TestStreamsRefusedForTheirVersionsAreCounted(t *testing.T) {
+	g := NewWithT(t)
+	f := newSoftwareFleet(t, whole, "1", "2")
+	f.send(f.takeUp("a"))
+	metrics := func() string {
+		scrape := httptest.NewRecorder()
+		f.Metrics().ServeHTTP(scrape, httptest.NewRequest(http.MethodGet, "/", nil))
+		return scrape.Body.String()
+	}
+	g.Eventually(metrics, "2s").Should(ContainSubstring(`buckthorndrum_forwarder_streams_refused_total{cause="version_unknown"} 1`))
+}
+
 func TestHubKeepsPlans(t *testing.T) {
 	g := NewWithT(t)
 	f := newSoftwareFleet(t, whole, "1")
--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -17,6 +17,14 @@
 	reasonVersionNoPlace   = "The version that began this stream has no target."
 )
 
+// versionCauses holds the values of the cause label for these reasons.
+var versionCauses = map[string]string{
+	reasonBeginningUnknown: "beginning_unknown",
+	reasonBeginningNoPlace: "beginning_without_target",
+	reasonVersionUnknown:   "version_unknown",
+	reasonVersionNoPlace:   "version_without_target",
+}
+
 const (
 	// unknownRetryAfter is when a stream is to be asked for again whose version is not known.
 	unknownRetryAfter = 500 * time.Millisecond
