admitter, forwarder: a pin to the only version of a pool changes nothing

Cause: in a pool of one version all new streams are pinned to it, and had the refusals of a pinned request: each visited all targets of a large pool, and callers were told to come back at once, all at the same time, while no target takes work.

Change: a pool knows whether its targets have several versions. A request that is pinned to the only one is like one that is not pinned. The Retry-After of refusals for a version is spread like that of others. A pinned request for a pool that is not known is refused as one that is not pinned, so that the test expects that.

--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -79,7 +79,7 @@
 	// TargetsDisallowed means that no target of the pool is in an allowed region.
 	TargetsDisallowed Refusal = "no target is in an allowed region"
 	// SoftwareUnavailable means that no target that accepts work and is not excluded has the
-	// software that the request is pinned to.
+	// software that the request is pinned to, and that targets of the pool have other software.
 	SoftwareUnavailable Refusal = "no target runs the stream's software version"
 	// ShareExceeded means that the workspace has too much more than others. Choose does
 	// not return it; its caller sets it.
@@ -102,15 +102,6 @@
 	PrefillTokens int
 }
 
-// forPinned returns the choice for a request that is pinned or not. A pinned one has no target
-// that it may go to if none that accepts work is left.
-func (c Choice) forPinned(pinned bool) Choice {
-	if pinned && c.Refused == NoTarget {
-		c.Refused = SoftwareUnavailable
-	}
-	return c
-}
-
 // Admitter chooses the targets of one router and holds what the router knows of them. It
 // is not safe for concurrent use.
 type Admitter struct {
@@ -177,6 +168,7 @@
 		s.admission.SetEvacuated(a.evacuated[t.DataCentre])
 		next[t.ID] = s
 		p.targets = append(p.targets, s)
+		p.mixed = p.mixed || t.Software != p.targets[0].Software
 	}
 	for id, p := range pools {
 		if old := a.pools[id]; old != nil {
@@ -211,7 +203,7 @@
 func (a *Admitter) Choose(now identifier.Instant, req Request) Choice {
 	p := a.pools[req.Pool]
 	if p == nil {
-		return Choice{Refused: NoTarget, Wait: noTargetRetryAfter}.forPinned(req.Pinned)
+		return Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
 	}
 	p.unreported.dropBefore(now.Add(-peerLoadTTL))
 	p.summarise(now, a.processes)
@@ -222,7 +214,7 @@
 		case c.Refused != "" && limited:
 			return Choice{Refused: TargetsLimited, Wait: max(c.Wait, limitedRetryAfter)}
 		case c.Refused == NoTarget:
-			return p.refusal(now, &req).forPinned(req.Pinned)
+			return p.refusalOfChoice(now, &req)
 		case c.Refused != "" || a.underLimit(now, req, c.Target):
 			return c
 		}
--- a/admitter/notice.go
+++ b/admitter/notice.go
@@ -83,7 +83,7 @@
 // refusal returns the refusal of requests that no target of the pool can take, as
 // PoolRefusal does. That of a large pool is computed once for each summary.
 func (p *pool) refusal(now identifier.Instant, req *Request) Choice {
-	if len(p.targets) <= maxScanned || req.restricted() {
+	if len(p.targets) <= maxScanned || p.restricts(req) {
 		return p.currentRefusal(now, req)
 	}
 	if p.summarisedAt == 0 || p.refusedAt == 0 || now < p.refusedAt || now.Sub(p.refusedAt) >= summaryTTL {
@@ -132,7 +132,7 @@
 	c := Choice{Refused: NoTarget, Wait: noTargetRetryAfter}
 	for _, t := range p.targets {
 		if req.AllowedRegions.Allows(t.Region) {
-			return c.forPinned(req.Pinned)
+			return Choice{Refused: SoftwareUnavailable, Wait: noTargetRetryAfter}
 		}
 		c.Refused = TargetsDisallowed
 	}
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -15,6 +15,8 @@
 type pool struct {
 	// targets holds all targets, including those that leave.
 	targets []*targetState
+	// mixed is set if the targets have several versions of software.
+	mixed bool
 	// ring is the hash ring of the targets that are neither listed as leaving nor evacuated.
 	ring ring
 	// pace is the slowest pace that the targets have reported of late.
@@ -119,8 +121,25 @@
 	return r.AllowedRegions.Allows(t.Region) && (!r.Pinned || t.Software == r.Software)
 }
 
-// restricted reports whether the request may not go to all targets of its pool.
-func (r *Request) restricted() bool { return r.AllowedRegions != nil || r.Pinned }
+// restricts reports whether a request may not go to all targets of the pool.
+func (p *pool) restricts(req *Request) bool {
+	return req.AllowedRegions != nil || p.lacksSoftware(req)
+}
+
+// refusalOfChoice returns the refusal of a request that found no target in the pool. If it is
+// pinned, those that accept work may have been excluded or have other software.
+func (p *pool) refusalOfChoice(now identifier.Instant, req *Request) Choice {
+	c := p.refusal(now, req)
+	if c.Refused == NoTarget && p.lacksSoftware(req) {
+		c.Refused = SoftwareUnavailable
+	}
+	return c
+}
+
+// lacksSoftware reports whether a request is pinned to other software than that of all targets.
+func (p *pool) lacksSoftware(req *Request) bool {
+	return req.Pinned && (p.mixed || len(p.targets) > 0 && p.targets[0].Software != req.Software)
+}
 
 // eligible reports whether target t accepts work, is permitted for the request, and is not
 // excluded.
@@ -148,7 +167,7 @@
 // prefers is eligible: all of a small pool, and those of the summary of a large one. A
 // request with a restriction needs all, as the summary need not hold one that it may go to.
 func (p *pool) scanned(req *Request) []*targetState {
-	if len(p.targets) <= maxScanned || req.restricted() {
+	if len(p.targets) <= maxScanned || p.restricts(req) {
 		return p.targets
 	}
 	return p.open
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -357,8 +357,12 @@
 	if choice.Refused != admitter.TargetsPausing {
 		delay = min(delay, maxRetryAfter)
 	}
-	delay += time.Duration(rand.Float64() * float64(delay) / 2)
-	return &errorAnswer{status: http.StatusServiceUnavailable, reason: refusalText(choice.Refused), retryAfter: delay}
+	return &errorAnswer{status: http.StatusServiceUnavailable, reason: refusalText(choice.Refused), retryAfter: spreadDelay(delay)}
+}
+
+// spreadDelay returns a delay increased by up to half, at random.
+func spreadDelay(delay time.Duration) time.Duration {
+	return delay + time.Duration(rand.Float64()*float64(delay)/2)
 }
 
 // refusalText returns the sentence by which a caller is told why its request is refused.
--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -101,14 +101,14 @@
 // stream may come back at once: its next attempt may begin at another version.
 func (c *call) busyAnswer(choice admitter.Choice) *errorAnswer {
 	if choice.Refused == admitter.SoftwareUnavailable && !c.takesUp() && !c.streamStarted() {
-		return &errorAnswer{status: http.StatusServiceUnavailable, reason: reasonBeginningNoPlace, retryAfter: minRetryAfter}
+		return &errorAnswer{status: http.StatusServiceUnavailable, reason: reasonBeginningNoPlace, retryAfter: spreadDelay(minRetryAfter)}
 	}
 	return busyAnswer(choice)
 }
 
 // versionUnknown returns the answer for a request for a stream whose version is not known.
 func versionUnknown(reason string) *errorAnswer {
-	return &errorAnswer{status: http.StatusServiceUnavailable, reason: reason, retryAfter: unknownRetryAfter}
+	return &errorAnswer{status: http.StatusServiceUnavailable, reason: reason, retryAfter: spreadDelay(unknownRetryAfter)}
 }
 
 // pinVersion pins a request for a stream that may be resumed to the version at which the stream
