--- a/admitter/admitter.go
+++ b/admitter/admitter.go
@@ -44,6 +44,9 @@
 	Crashed []identifier.Target
 	// AllowedRegions are the regions of the targets that may be given the request.
 	AllowedRegions permitter.RegionSet
+	// Pinned is set if the request may go only to targets whose software is Software.
+	Pinned   bool
+	Software identifier.Software
 	// LocalDataCentre is the data centre of the router.
 	LocalDataCentre identifier.DataCentre
 	// Seed breaks ties between the targets of a plain service. For a prompt without a
@@ -75,6 +78,9 @@
 	TargetsWarmingUp Refusal = "targets warm up"
 	// TargetsDisallowed means that no target of the pool is in an allowed region.
 	TargetsDisallowed Refusal = "no target is in an allowed region"
+	// SoftwareUnavailable means that no target that accepts work and is not excluded has the
+	// software that the request is pinned to, and that targets of the pool have other software.
+	SoftwareUnavailable Refusal = "no target runs the stream's software version"
 	// ShareExceeded means that the workspace has too much more than others. Choose does
 	// not return it; its caller sets it.
 	ShareExceeded Refusal = "workspace is beyond its share"
@@ -162,6 +168,7 @@
 		s.admission.SetEvacuated(a.evacuated[t.DataCentre])
 		next[t.ID] = s
 		p.targets = append(p.targets, s)
+		p.mixed = p.mixed || t.Software != p.targets[0].Software
 	}
 	for id, p := range pools {
 		if old := a.pools[id]; old != nil {
@@ -207,7 +214,7 @@
 		case c.Refused != "" && limited:
 			return Choice{Refused: TargetsLimited, Wait: max(c.Wait, limitedRetryAfter)}
 		case c.Refused == NoTarget:
-			return p.refusal(now, req.AllowedRegions)
+			return p.refusalOfChoice(now, &req)
 		case c.Refused != "" || a.underLimit(now, req, c.Target):
 			return c
 		}
--- a/admitter/pool.go
+++ b/admitter/pool.go
@@ -15,6 +15,8 @@
 type pool struct {
 	// targets holds all targets, including those that leave.
 	targets []*targetState
+	// mixed is set if the targets have several versions of software.
+	mixed bool
 	// ring is the hash ring of the targets that are neither listed as leaving nor evacuated.
 	ring ring
 	// pace is the slowest pace that the targets have reported of late.
@@ -113,10 +115,36 @@
 	p.shortestQueues[i] = t
 }
 
-// eligible reports whether target t accepts work, is allowed for the request, and is not
+// permits reports whether the region and the software of target t are among those that the
+// request may go to.
+func (r *Request) permits(t *targetState) bool {
+	return r.AllowedRegions.Allows(t.Region) && (!r.Pinned || t.Software == r.Software)
+}
+
+// restricts reports whether a request may not go to all targets of the pool.
+func (p *pool) restricts(req *Request) bool {
+	return req.AllowedRegions != nil || p.lacksSoftware(req)
+}
+
+// refusalOfChoice returns the refusal of a request that found no target in the pool. If it is
+// pinned, those that accept work may have been excluded or have other software.
+func (p *pool) refusalOfChoice(now identifier.Instant, req *Request) Choice {
+	c := p.refusal(now, req)
+	if c.Refused == NoTarget && p.lacksSoftware(req) {
+		c.Refused = SoftwareUnavailable
+	}
+	return c
+}
+
+// lacksSoftware reports whether a request is pinned to other software than that of all targets.
+func (p *pool) lacksSoftware(req *Request) bool {
+	return req.Pinned && (p.mixed || len(p.targets) > 0 && p.targets[0].Software != req.Software)
+}
+
+// eligible reports whether target t accepts work, is permitted for the request, and is not
 // excluded.
 func eligible(now identifier.Instant, t *targetState, req *Request) bool {
-	return req.AllowedRegions.Allows(t.Region) && t.acceptsWork(now) && !slices.Contains(req.Exclude, t.ID)
+	return req.permits(t) && t.acceptsWork(now) && !slices.Contains(req.Exclude, t.ID)
 }
 
 // healthy reports whether target t is as good as the others. No peer may have reported
@@ -137,9 +165,9 @@
 
 // scanned returns the targets among which a request looks for one if none of those that it
 // prefers is eligible: all of a small pool, and those of the summary of a large one. A
-// request with a restriction needs all, as the summary need not hold one that is allowed.
+// request with a restriction needs all, as the summary need not hold one that it may go to.
 func (p *pool) scanned(req *Request) []*targetState {
-	if len(p.targets) <= maxScanned || req.AllowedRegions != nil {
+	if len(p.targets) <= maxScanned || p.restricts(req) {
 		return p.targets
 	}
 	return p.open
--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -62,9 +62,7 @@
 		for n := range rapid.IntRange(10, 80).Draw(t, "steps") {
 			now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
 			if rapid.IntRange(0, 5).Draw(t, "plan") == 0 {
-				w := weights{identifier.Software(rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "a")): 1 + rapid.IntRange(0, 9).Draw(t, "wa")}
-				w[identifier.Software(rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "b"))] = 1 + rapid.IntRange(0, 9).Draw(t, "wb")
-				made = append(made, Plan{Number: uint64(len(made) + 1), Weights: w})
+				made = append(made, Plan{Number: uint64(len(made) + 1), Weights: drawWeights(t)})
 			}
 			for i, h := range list {
 				if knows[i] < len(made) && behind[i] == 0 {
@@ -86,12 +84,7 @@
 				}
 			}
 			for id, v := range began {
-				for i, h := range list {
-					since := beganAt[id].Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "before")) * time.Millisecond)
-					if found, ok := h.Began(since, id); ok && found != v {
-						t.Fatalf("stream %s began at version %s, and router %d takes it up at %s", id, v, i, found)
-					}
-				}
+				checkTakeUps(t, list, id, v, beganAt[id])
 				if now.Sub(beganAt[id]) > 20*time.Second {
 					delete(began, id)
 				}
@@ -100,6 +93,27 @@
 	})
 }
 
+// drawWeights draws the weights of a plan of one or two versions.
+func drawWeights(t *rapid.T) weights {
+	w := weights{}
+	for range 2 {
+		v := identifier.Software(rapid.SampledFrom([]string{"1", "2", "3"}).Draw(t, "version"))
+		w[v] = 1 + rapid.IntRange(0, 9).Draw(t, "weight")
+	}
+	return w
+}
+
+// checkTakeUps fails the test if a router takes a stream up at another version than v, which
+// began it.
+func checkTakeUps(t *rapid.T, routers []*History, id identifier.Request, v identifier.Software, beganAt identifier.Instant) {
+	for i, h := range routers {
+		since := beganAt.Add(-time.Duration(rapid.IntRange(0, 3000).Draw(t, "before")) * time.Millisecond)
+		if found, ok := h.Began(since, id); ok && found != v {
+			t.Fatalf("stream %s began at version %s, and router %d takes it up at %s", id, v, i, found)
+		}
+	}
+}
+
 func TestStreamsOfOneVersionAreTakenUpAfterRestart(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHistory(Config{Settle: settle})
@@ -166,6 +180,66 @@
 	g.Expect(ok).To(BeTrue())
 }
 
+// Once too many plans had been known, streams of which it was not known when they began were
+// never taken up again.
+func TestDroppedPlansAreForgotten(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHistory(Config{Settle: settle})
+	for n := range uint64(maxPlans + 5) {
+		h.Learn(start, []Plan{{Number: n + 1, Weights: weights{"1": 1}}})
+	}
+	h.Expire(start.Add(time.Minute), time.Minute)
+	_, ok := h.Began(0, "a")
+	g.Expect(ok).To(BeFalse())
+	h.Expire(start.Add(time.Minute+2*settle+1), time.Minute)
+	_, ok = h.Began(0, "a")
+	g.Expect(ok).To(BeTrue())
+}
+
+// A plan that the store had lost and has again, behind a newer one, was not learned, and streams
+// that had begun by it were taken up by others.
+func TestPlanThatComesBackIsLearned(t *testing.T) {
+	g := NewWithT(t)
+	one, lost, next := Plan{Number: 1, Weights: weights{"1": 1}}, Plan{Number: 2, Weights: weights{"2": 1}}, Plan{Number: 9, Weights: weights{"1": 1}}
+	h := NewHistory(Config{Settle: settle})
+	h.Learn(start, []Plan{one, next})
+	g.Expect(h.Misses([]Plan{one})).To(BeTrue())
+	g.Expect(h.Misses([]Plan{one, next})).To(BeFalse())
+	g.Expect(h.Misses([]Plan{next})).To(BeFalse(), "the first is past")
+	g.Expect(h.Misses(nil)).To(BeTrue())
+	_, ok := h.Began(0, "a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(h.Learn(start, []Plan{one, lost, next})).To(BeTrue())
+	g.Expect(h.Learn(start, []Plan{one, lost, next})).To(BeFalse())
+	g.Expect(h.Plans()).To(Equal([]Plan{one, lost, next}))
+	_, ok = h.Began(0, "a")
+	g.Expect(ok).To(BeFalse())
+	h = NewHistory(Config{Settle: settle})
+	h.Learn(start, []Plan{one})
+	h.Learn(start.Add(time.Second), []Plan{one, next})
+	h.Learn(start.Add(time.Second), []Plan{one, lost, next})
+	_, ok = h.Pick(start.Add(2*time.Second), "a")
+	g.Expect(ok).To(BeFalse(), "others begin by the plan that came back, or not yet")
+	v, ok := h.Pick(start.Add(3*time.Second), "a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(v).To(BeEquivalentTo("1"))
+}
+
+func TestSettleIsOnlyLengthened(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHistory(Config{Settle: settle})
+	h.Learn(start, []Plan{{Number: 1, Weights: weights{"1": 1}}})
+	h.Learn(start.Add(time.Second), []Plan{{Number: 2, Weights: weights{"2": 1}}})
+	h.LengthenSettle(settle / 2)
+	v, _ := h.Pick(start.Add(settle), "a")
+	g.Expect(v).To(BeEquivalentTo("1"))
+	h.LengthenSettle(2 * settle)
+	v, _ = h.Pick(start.Add(2*settle), "a")
+	g.Expect(v).To(BeEquivalentTo("1"))
+	v, _ = h.Pick(start.Add(time.Second+2*settle), "a")
+	g.Expect(v).To(BeEquivalentTo("2"))
+}
+
 func TestNextPlanFollowsSlots(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHistory(Config{Settle: settle})
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -51,6 +51,8 @@
 	electedFor isolator.Part
 	// memory is the memory reserved for the request's body and answer.
 	memory reservation
+	// pin is the software to whose targets the request may go.
+	pin softwarePin
 	// stream is the state of the answer's stream, nil before its first event.
 	stream *stream
 	// seed is a random number that selects the request's pool and spreads requests
@@ -205,6 +207,9 @@
 	}
 	f.countRequest(now, pool)
 	f.recordDemand(now, c)
+	if e := f.pinVersion(c); e != nil {
+		return e
+	}
 	release := f.awaitTrial(ctx, c)
 	defer release()
 	for {
@@ -285,7 +290,8 @@
 		Pool: c.pool, Model: c.info.Model, Segments: c.info.PromptPrefix, PromptTokens: c.info.PromptTokens, MaxOutputTokens: c.info.MaxOutputTokens,
 		TargetMemory: pool.MemoryTokens, Exclude: c.tried, LocalDataCentre: f.cfg.DataCentre, Seed: c.seed,
 		GapObjective: pool.GapObjective, EventTokens: pool.EventTokens, AllowedRegions: c.allowedRegions,
-		WithinShare: shareRatio >= 1, MaxWait: latencyLimit(c.route.LatencyObjective, shareRatio),
+		Pinned: c.pin.set, Software: c.pin.software,
+		WithinShare: shareRatio >= 1, MaxWait: c.maxWait(shareRatio),
 	}
 }
 
@@ -300,7 +306,7 @@
 		return nil, f.correctStatus(c, e)
 	}
 	shareRatio := 1.0
-	if c.info.Model != "" && c.runs == 0 {
+	if !c.exemptFromShares() {
 		shareRatio = f.state.sharer.ShareRatio(now, c.workspace)
 	}
 	req := f.targetRequirements(c, shareRatio)
@@ -308,13 +314,13 @@
 		req.Crashed = f.crashedTargets(isolator.Part(isolate))
 	}
 	choice := admitter.Choice{Refused: admitter.ShareExceeded, Wait: time.Second}
-	if req.Model == "" || c.runs > 0 || c.randomFraction() < f.state.sharer.AdmissionRatio(now, c.workspace) {
+	if c.exemptFromShares() || c.randomFraction() < f.state.sharer.AdmissionRatio(now, c.workspace) {
 		f.observeLoadAge(now)
 		choice = f.state.admitter.Choose(now, req)
 	}
 	c.shareRatio, c.latencyLimit, c.choice = shareRatio, req.MaxWait, choice
 	if choice.Refused != "" {
-		return nil, f.correctStatus(c, busyAnswer(choice))
+		return nil, f.correctStatus(c, c.busyAnswer(choice))
 	}
 	t := &selectedTarget{choice: choice, address: f.state.addresses[choice.Target], sent: f.state.admitter.StartAttempt(now, req, choice), outcome: isolator.Ended}
 	f.startRun(now, c, t)
@@ -351,8 +357,12 @@
 	if choice.Refused != admitter.TargetsPausing {
 		delay = min(delay, maxRetryAfter)
 	}
-	delay += time.Duration(rand.Float64() * float64(delay) / 2)
-	return &errorAnswer{status: http.StatusServiceUnavailable, reason: refusalText(choice.Refused), retryAfter: delay}
+	return &errorAnswer{status: http.StatusServiceUnavailable, reason: refusalText(choice.Refused), retryAfter: spreadDelay(delay)}
+}
+
+// spreadDelay returns a delay increased by up to half, at random.
+func spreadDelay(delay time.Duration) time.Duration {
+	return delay + time.Duration(rand.Float64()*float64(delay)/2)
 }
 
 // refusalText returns the sentence by which a caller is told why its request is refused.
@@ -364,6 +374,8 @@
 		return "No target is in a region that is allowed for this request."
 	case admitter.TargetsWarmingUp:
 		return "All targets warm up."
+	case admitter.SoftwareUnavailable:
+		return reasonVersionNoPlace
 	default:
 		return "All targets are busy."
 	}
