--- a/forwarder/plans.go
+++ b/forwarder/plans.go
@@ -134,3 +134,12 @@
 		return !slices.ContainsFunc(plans, func(q assigner.Plan) bool { return q.Number == p.Number })
 	})
 }
+
+// Pools returns the pools of the configuration in force, sorted by ID.
+func (f *Forwarder) Pools() []identifier.Pool {
+	s := f.state.snapshot.Load()
+	if s == nil {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(s.pools))
+}
