--- a/forwarder/plans.go
+++ b/forwarder/plans.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"maps"
 	"slices"
 	"time"
 
