--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -73,7 +73,9 @@
 					behind[i] = 0
 				}
 				if rapid.IntRange(0, 30).Draw(t, "restart") == 0 {
+					hub := list[(i+1)%len(list)]
 					list[i] = NewHistory(cfg)
+					list[i].Learn(now, hub.DatedPlans(now))
 					learn(i)
 					behind[i] = 0
 					continue
@@ -167,6 +169,39 @@
 	}
 }
 
+// Routers that all start anew took every plan of the last minute for one by which streams may
+// have begun a moment ago, and took up none.
+func TestAgesOfPlansOutliveRestart(t *testing.T) {
+	g := NewWithT(t)
+	one, two := Plan{Number: 1, Weights: weights{"1": 1}}, Plan{Number: 2, Weights: weights{"2": 1}}
+	h := NewHistory(Config{Settle: settle})
+	h.Learn(start, []Plan{one})
+	h.Learn(start.Add(time.Second), []Plan{one, two})
+	g.Expect(h.HasAged(start.Add(2*time.Second), []Plan{one, two}, 2*time.Second)).To(BeFalse())
+	told := h.DatedPlans(start.Add(10 * time.Second))
+	g.Expect(told[1].AgeMS).To(BeEquivalentTo(9000))
+	g.Expect(told[1].Check()).To(Succeed())
+	g.Expect(h.HasAged(start.Add(11*time.Second), told, 2*time.Second)).To(BeFalse())
+	g.Expect(h.HasAged(start.Add(12*time.Second), told, 2*time.Second)).To(BeTrue())
+	restarted := NewHistory(Config{Settle: settle})
+	now := start.Add(13 * time.Second)
+	restarted.Learn(now, told)
+	v, ok := restarted.Pick(now, "a")
+	g.Expect(ok).To(BeTrue(), "it is known that the newest is in force")
+	g.Expect(v).To(BeEquivalentTo("2"))
+	_, ok = restarted.Began(now.Add(-9*time.Second), "a")
+	g.Expect(ok).To(BeFalse())
+	v, ok = restarted.Began(now.Add(-4*time.Second), "a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(v).To(BeEquivalentTo("2"))
+	late := NewHistory(Config{Settle: settle})
+	late.Learn(now, []Plan{one, two})
+	late.Learn(now, told)
+	_, ok = late.Began(now.Add(-4*time.Second), "a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(Plan{Number: 1, Weights: weights{"1": 1}, AgeMS: -1}.Check()).NotTo(Succeed())
+}
+
 func TestPlansAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHistory(Config{Settle: settle})
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"math"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -13,6 +14,8 @@
 	// maxVersions bounds the versions of one plan, and maxVersionBytes the name of each.
 	maxVersions     = 16
 	maxVersionBytes = 128
+	// maxAge bounds the ages of plans that are told.
+	maxAge = time.Hour
 )
 
 // Plan divides the streams that begin at a pool among the software versions of its targets. A
@@ -22,10 +25,15 @@
 	Number uint64 `json:"number"`
 	// Weights holds the part of the streams that each version is given. All are positive.
 	Weights map[identifier.Software]int `json:"weights"`
+	// AgeMS is for how many milliseconds at least a router had known the plan when it told of it.
+	AgeMS int64 `json:"age_ms,omitempty"`
 }
 
 // Check returns an error if a decoded plan is not valid.
 func (p Plan) Check() error {
+	if p.AgeMS < 0 || p.AgeMS > maxAge.Milliseconds() {
+		return errors.Errorf("plan %d has the age %d ms", p.Number, p.AgeMS)
+	}
 	if p.Number == 0 || len(p.Weights) == 0 || len(p.Weights) > maxVersions {
 		return errors.Errorf("plan %d has %d versions", p.Number, len(p.Weights))
 	}
--- a/forwarder/plans.go
+++ b/forwarder/plans.go
@@ -19,6 +19,9 @@
 	maxPlanMemory = time.Minute
 	// planInterval is the time between two new plans of a pool at least.
 	planInterval = time.Second
+	// planAgeInterval is by how much the ages of the stored plans may be out of date while there
+	// is more than one.
+	planAgeInterval = 2 * time.Second
 )
 
 // poolHistory holds the plans by which the streams of a pool begin.
@@ -95,8 +98,8 @@
 
 // UpdatePlans records the plans that the store has for a pool and returns what a hub should
 // write in their place, nil if they stand: with another plan if the slots of the versions have
-// changed, with plans that the store has lost, or without those by which no stream can have
-// begun that is still taken up. A new plan has the number least at least.
+// changed, with plans that the store has lost, without those by which no stream can have begun
+// that is still taken up, or with the ages of today. A new plan has the number least at least.
 func (f *Forwarder) UpdatePlans(now identifier.Instant, pool identifier.Pool, recorded []assigner.Plan, least uint64) (write []assigner.Plan) {
 	f.state.mu.Lock()
 	defer f.state.mu.Unlock()
@@ -104,7 +107,7 @@
 	if _, streams := f.planMemory(pool); !streams {
 		return nil
 	}
-	plans := h.Plans()
+	plans := h.DatedPlans(now)
 	slots := f.state.admitter.SoftwareSlots(pool)
 	if len(plans) == 0 && !hasNamed(slots) {
 		return nil
@@ -113,7 +116,7 @@
 		h.plannedAt = now
 		return append(plans, next)
 	}
-	if h.Misses(recorded) || hasOthers(recorded, plans) {
+	if h.Misses(recorded) || hasOthers(recorded, plans) || h.HasAged(now, recorded, planAgeInterval) {
 		return plans
 	}
 	return nil
--- a/forwarder/timelimits.go
+++ b/forwarder/timelimits.go
@@ -11,7 +11,7 @@
 	maxLimitKinds = 256
 	// minLimitsSeen is the number of requests from which on the longest time limit counts as
 	// that of all callers.
-	minLimitsSeen = 20
+	minLimitsSeen = 5
 )
 
 // timeLimits holds the longest time limit that callers have stated in requests for new streams,
--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -178,7 +178,8 @@
 // beganSince returns the earliest instant at which the stream that a request takes up may have
 // begun by a plan that was in force, zero if it is not known. A caller has the time limit of its
 // first request for all of them, and states what is left of it. A router may use a plan that
-// others have replaced until its proof of freshness is too old for keys. The caller holds
+// others have replaced until its proof of freshness is too old for keys, which may be later than
+// the settle time after which the history takes it for known. The caller holds
 // f.state.mu.
 func (f *Forwarder) beganSince(c *call) identifier.Instant {
 	elapsed, ok := f.state.timeLimits.elapsed(c.route.Kind, c.info.Timeout)
@@ -186,5 +187,6 @@
 	if !ok || maxProofAge <= 0 || c.route.Public {
 		return 0
 	}
-	return max(0, c.earliestArrival.Add(-elapsed-beganMargin-maxProofAge))
+	late := max(0, maxProofAge-f.settleTime())
+	return max(0, c.earliestArrival.Add(-elapsed-beganMargin-late))
 }
