--- a/reconciler/reconciler.go
+++ b/reconciler/reconciler.go
@@ -79,6 +79,19 @@
 	r.hidden[entry.Key] = hiddenEntry{entry: entry, until: until}
 }
 
+// BeginEra makes all entries of the copy count, as those hidden so far are of an older era. The
+// caller must hide those of the new copy.
+func (r *Reconciler) BeginEra() { clear(r.hidden) }
+
+// Retain records the removal of the hidden entries that a complete list does not contain.
+func (r *Reconciler) Retain(now identifier.Instant, listed map[string]bool) {
+	for key := range r.hidden {
+		if !listed[key] {
+			r.RecordRemoval(now, key)
+		}
+	}
+}
+
 // Keeps reports whether an entry counts that the copy lacks.
 func (r *Reconciler) Keeps(key string) bool {
 	_, kept := r.kept[key]
--- a/reconciler/reconciler_test.go
+++ b/reconciler/reconciler_test.go
@@ -40,6 +40,25 @@
 	g.Expect(r.Hides("b", 7)).To(BeFalse())
 }
 
+func TestHiddenEntryThatListLacksIsRemoved(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	r.Hide(relayer.Change{Key: "a", Position: 7}, start.Add(time.Second))
+	r.Hide(relayer.Change{Key: "b", Position: 7}, start.Add(time.Second))
+	r.Retain(start, map[string]bool{"b": true})
+	g.Expect(r.WasRemoved(start, "a")).To(BeTrue())
+	g.Expect(r.Due(start.Add(time.Hour))).To(Equal([]relayer.Change{{Key: "b", Position: 7}}))
+}
+
+func TestEntriesOfOlderEraAreNotHidden(t *testing.T) {
+	g := NewWithT(t)
+	r := New()
+	r.Hide(relayer.Change{Key: "a", Position: 7}, start.Add(time.Second))
+	r.BeginEra()
+	g.Expect(r.Hides("a", 3)).To(BeFalse())
+	g.Expect(r.NextDue()).To(BeZero())
+}
+
 func TestRemovalsAreForgotten(t *testing.T) {
 	g := NewWithT(t)
 	r := New()
