--- a/forwarder/freshness.go
+++ b/forwarder/freshness.go
@@ -101,7 +101,8 @@
 // ReceivePeerStatus records how far the router from had followed the store at an instant. If
 // this router has got as far in the same era, the status confirms its configuration too. If the
 // other router is ahead, its position is sent on the channel that NewerPositions returns. A
-// router of an older era proves nothing.
+// router of an older era proves nothing, nor does one that is not ahead and has a newer
+// configuration, which the store has lost.
 func (f *Forwarder) ReceivePeerStatus(at identifier.Instant, from identifier.Router, s Status) {
 	f.recordPeerRevision(clocker.Now(), s.Revision)
 	position, theirs := f.position(), s.storePosition()
@@ -112,7 +113,8 @@
 		}
 		return
 	}
-	if s.Position > 0 && position.Era == s.Era {
+	lost := s.Era > 0 && s.Revision > f.Revision()
+	if s.Position > 0 && position.Era == s.Era && !lost {
 		f.confirm(at.Add(-s.ProofAge), position, string(from))
 	}
 }
