--- a/assigner/assigner_test.go
+++ b/assigner/assigner_test.go
@@ -202,6 +202,16 @@
 	g.Expect(Plan{Number: 1, Weights: weights{"1": 1}, AgeMS: -1}.Check()).NotTo(Succeed())
 }
 
+// A router that started refused streams for which plans differ that had ended long before.
+func TestEndedPlansDoNotKeepStreamsFromBeginning(t *testing.T) {
+	g := NewWithT(t)
+	h := NewHistory(Config{Settle: settle})
+	h.Learn(start, []Plan{{Number: 1, Weights: weights{"1": 1}, AgeMS: 60000}, {Number: 2, Weights: weights{"2": 1}, AgeMS: 30000}, {Number: 3, Weights: weights{"2": 2}, AgeMS: 500}})
+	v, ok := h.Pick(start, "a")
+	g.Expect(ok).To(BeTrue())
+	g.Expect(v).To(BeEquivalentTo("2"))
+}
+
 func TestPlansAreBounded(t *testing.T) {
 	g := NewWithT(t)
 	h := NewHistory(Config{Settle: settle})
--- a/assigner/history.go
+++ b/assigner/history.go
@@ -28,6 +28,9 @@
 	// overflowedUntil is until when streams may have begun by plans that were dropped before
 	// their time, zero for none.
 	overflowedUntil identifier.Instant
+	// expiredUntil is until when streams may have begun by plans that were dropped as past, zero
+	// for none.
+	expiredUntil identifier.Instant
 }
 
 // knownPlan is a plan and when this router learned of it.
@@ -128,7 +131,7 @@
 			continue
 		}
 		if p.first && now.Sub(p.learnedAt) < h.cfg.Settle {
-			return h.agreed(h.plans[:i+1], id)
+			return h.agreed(h.plans[h.firstSince(now):i+1], id)
 		}
 		return v, true
 	}
@@ -150,14 +153,20 @@
 // Began returns the version at which a stream began, not before an instant, whose first request
 // has an id. ok is false if plans differ by which it may have begun.
 func (h *History) Began(since identifier.Instant, id identifier.Request) (v identifier.Software, ok bool) {
-	if since <= h.overflowedUntil && h.overflowedUntil != 0 {
+	if since <= h.overflowedUntil && h.overflowedUntil != 0 || since <= h.expiredUntil && since != 0 {
 		return "", false
 	}
+	return h.agreed(h.plans[h.firstSince(since):], id)
+}
+
+// firstSince returns the index of the first plan by which a stream may have begun since an
+// instant.
+func (h *History) firstSince(since identifier.Instant) int {
 	i := 0
 	for i < len(h.plans) && h.endOf(i) != 0 && h.endOf(i) < since {
 		i++
 	}
-	return h.agreed(h.plans[i:], id)
+	return i
 }
 
 // Misses reports whether a list of plans lacks one of the history that is newer than its first.
@@ -179,6 +188,7 @@
 		h.overflowedUntil = 0
 	}
 	for len(h.plans) > 1 && h.endOf(0) < now.Add(-memory) {
+		h.expiredUntil = h.endOf(0)
 		h.plans = h.plans[1:]
 	}
 }
--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -195,7 +195,7 @@
 // forward sends a request until it has an answer or may not be sent again. It returns
 // nil if the caller has an answer from a target.
 func (f *Forwarder) forward(ctx context.Context, c *call) *errorAnswer {
-	pool, ok := c.route.pickPool(c.seed)
+	pool, ok := c.route.pickPool(c.poolSeed())
 	if !ok {
 		return &errorAnswer{status: http.StatusServiceUnavailable, reason: "The route has no pool.", retryAfter: time.Second}
 	}
--- a/forwarder/takeups_test.go
+++ b/forwarder/takeups_test.go
@@ -277,6 +277,25 @@
 	g.Expect(numbersOf(update(three[1:2], 7))).To(Equal([]uint64{100}), "a copy of before")
 }
 
+// A stream of a route whose traffic is split was taken up at another pool.
+func TestTakeUpGoesToPoolOfItsStream(t *testing.T) {
+	g := NewWithT(t)
+	route := &Route{Stream: true, Resumable: true, Split: []PoolWeight{{Pool: "a", Weight: 1}, {Pool: "b", Weight: 1}}}
+	pools := map[identifier.Pool]int{}
+	for i := range 1000 {
+		id := identifier.Request(fmt.Sprintf("%016x", i))
+		began := &call{route: route, seed: 1, info: RequestInfo{ID: id}}
+		takesUp := &call{route: route, seed: 2, info: RequestInfo{ID: "other", Resumes: id, LastEventID: "3"}}
+		pool, _ := route.pickPool(began.poolSeed())
+		same, _ := route.pickPool(takesUp.poolSeed())
+		g.Expect(same).To(Equal(pool))
+		pools[pool]++
+	}
+	g.Expect(pools["a"]).To(BeNumerically("~", 500, 80))
+	plain := &call{route: &Route{Stream: true}, seed: 7, info: RequestInfo{ID: "x"}}
+	g.Expect(plain.poolSeed()).To(BeEquivalentTo(7))
+}
+
 // numbersOf returns the numbers of plans.
 func numbersOf(plans []assigner.Plan) []uint64 {
 	var list []uint64
--- a/forwarder/timelimits.go
+++ b/forwarder/timelimits.go
@@ -39,11 +39,14 @@
 }
 
 // elapsed returns the longest time for which a caller can have waited that states the time it
-// has left. ok is false if that is not known.
-func (l *timeLimits) elapsed(k identifier.Kind, left time.Duration) (elapsed time.Duration, ok bool) {
+// has left, given the time limit of the route. ok is false if that is not known. The limits that
+// were seen may all be of callers that had waited before, so that the route's counts if it is
+// longer.
+func (l *timeLimits) elapsed(k identifier.Kind, routeLimit, left time.Duration) (elapsed time.Duration, ok bool) {
 	seen := l.kinds[k]
-	if left <= 0 || seen.count < minLimitsSeen || left > seen.longest {
+	longest := max(seen.longest, routeLimit)
+	if left <= 0 || routeLimit <= 0 || seen.count < minLimitsSeen || left > longest {
 		return 0, false
 	}
-	return seen.longest - left, true
+	return longest - left, true
 }
--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -1,6 +1,7 @@
 package forwarder
 
 import (
+	"hash/fnv"
 	"net/http"
 	"time"
 
@@ -82,6 +83,25 @@
 	return c.route != nil && c.route.resumesStreams() && c.info.LastEventID != ""
 }
 
+// poolSeed returns the number that selects the request's pool. Those of a stream that may be
+// resumed, and of the requests that take it up, are the same, so that a split of the traffic
+// does not move it between pools.
+func (c *call) poolSeed() uint64 {
+	if !c.route.resumesStreams() {
+		return c.seed
+	}
+	id := c.info.ID
+	if c.takesUp() {
+		id = c.info.Resumes
+	}
+	if id == "" {
+		return c.seed
+	}
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(id))
+	return h.Sum64()
+}
+
 // exemptFromShares reports whether the request is sent whatever its workspace has been given: it
 // needs no engine, was sent before, or takes a stream up that is lost otherwise.
 func (c *call) exemptFromShares() bool {
@@ -182,7 +202,7 @@
 // the settle time after which the history takes it for known. The caller holds
 // f.state.mu.
 func (f *Forwarder) beganSince(c *call) identifier.Instant {
-	elapsed, ok := f.state.timeLimits.elapsed(c.route.Kind, c.info.Timeout)
+	elapsed, ok := f.state.timeLimits.elapsed(c.route.Kind, c.route.Timeout, c.info.Timeout)
 	maxProofAge := f.state.tunables.Load().MaxProofAge
 	if !ok || maxProofAge <= 0 || c.route.Public {
 		return 0
