forwarder: requests that take streams up are admitted as others are (FAIR)

Takes back, in which they were sent whatever their workspace had been given, and might wait twice as long. Any caller may send Last-Event-Id.

TestTakeUpsDoNotWaitBehindNewStreams asked for the exemption; in its place TestTakeUpsAreAdmittedAsNewStreams asks for the same limits as of others. It fails on the code before (no half share there).

--- a/forwarder/call.go
+++ b/forwarder/call.go
@@ -291,7 +291,7 @@
 		TargetMemory: pool.MemoryTokens, Exclude: c.tried, LocalDataCentre: f.cfg.DataCentre, Seed: c.seed,
 		GapObjective: pool.GapObjective, EventTokens: pool.EventTokens, AllowedRegions: c.allowedRegions,
 		Pinned: c.pin.set, Software: c.pin.software,
-		WithinShare: shareRatio >= 1, MaxWait: c.maxWait(shareRatio),
+		WithinShare: shareRatio >= 1, MaxWait: latencyLimit(c.route.LatencyObjective, shareRatio),
 	}
 }
 
@@ -306,7 +306,7 @@
 		return nil, f.correctStatus(c, e)
 	}
 	shareRatio := 1.0
-	if !c.exemptFromShares() {
+	if c.info.Model != "" && c.runs == 0 {
 		shareRatio = f.state.sharer.ShareRatio(now, c.workspace)
 	}
 	req := f.targetRequirements(c, shareRatio)
@@ -314,7 +314,7 @@
 		req.Crashed = f.crashedTargets(isolator.Part(isolate))
 	}
 	choice := admitter.Choice{Refused: admitter.ShareExceeded, Wait: time.Second}
-	if c.exemptFromShares() || c.randomFraction() < f.state.sharer.AdmissionRatio(now, c.workspace) {
+	if req.Model == "" || c.runs > 0 || c.randomFraction() < f.state.sharer.AdmissionRatio(now, c.workspace) {
 		f.observeLoadAge(now)
 		choice = f.state.admitter.Choose(now, req)
 	}
--- a/forwarder/takeups_test.go
+++ b/forwarder/takeups_test.go
@@ -202,21 +202,20 @@
 	g.Expect(ended()[0].ContextMap()).To(And(HaveKeyWithValue("resumes", "a"), HaveKeyWithValue("software", "1")))
 }
 
-// Requests that take streams up were refused behind new streams (LOST): their workspaces are
-// beyond their shares, or their first event is expected later than that of new ones may be.
-func TestTakeUpsDoNotWaitBehindNewStreams(t *testing.T) {
+// A workspace that floods got more than its share with requests that take streams up, which any
+// caller may send (FAIR).
+func TestTakeUpsAreAdmittedAsNewStreams(t *testing.T) {
 	g := NewWithT(t)
 	f := newSoftwareFleet(t, whole, "1")
 	_, c := f.prepareCall(t)
 	route := *c.route
 	c.route, c.info.Model = &route, "m"
-	g.Expect(c.exemptFromShares()).To(BeFalse())
-	usual := f.targetRequirements(c, 1).MaxWait
+	usual := f.targetRequirements(c, 0.5)
 	route.Stream, route.Resumable, c.info.LastEventID = true, true, "3"
-	g.Expect(c.exemptFromShares()).To(BeTrue())
-	g.Expect(f.targetRequirements(c, 1).MaxWait).To(Equal(2 * usual))
-	route.Resumable = false
-	g.Expect(c.exemptFromShares()).To(BeFalse())
+	g.Expect(c.takesUp()).To(BeTrue())
+	takeUp := f.targetRequirements(c, 0.5)
+	g.Expect(takeUp.MaxWait).To(Equal(usual.MaxWait))
+	g.Expect(takeUp.WithinShare).To(BeFalse())
 }
 
 func TestStreamsRefusedForTheirVersionsAreCounted(t *testing.T) {
--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -26,13 +26,8 @@
 	reasonVersionNoPlace:   "version_without_target",
 }
 
-const (
-	// unknownRetryAfter is when a stream is to be asked for again whose version is not known.
-	unknownRetryAfter = 500 * time.Millisecond
-	// takeUpPatience is how many times as long as others a request that takes a stream up may
-	// be expected to wait for its first token.
-	takeUpPatience = 2
-)
+// unknownRetryAfter is when a stream is to be asked for again whose version is not known.
+const unknownRetryAfter = 500 * time.Millisecond
 
 // softwarePin is the software to whose targets a request may go, if it is set.
 type softwarePin struct {
@@ -102,21 +97,6 @@
 	return h.Sum64()
 }
 
-// exemptFromShares reports whether the request is sent whatever its workspace has been given: it
-// needs no engine, was sent before, or takes a stream up that is lost otherwise.
-func (c *call) exemptFromShares() bool {
-	return c.info.Model == "" || c.runs > 0 || c.takesUp()
-}
-
-// maxWait returns the longest expected time to the first token at which the request is sent.
-func (c *call) maxWait(shareRatio float64) time.Duration {
-	limit := latencyLimit(c.route.LatencyObjective, shareRatio)
-	if c.takesUp() {
-		return takeUpPatience * limit
-	}
-	return limit
-}
-
 // busyAnswer returns the answer for the request if no target may be given it. One that begins a
 // stream may come back at once: its next attempt may begin at another version.
 func (c *call) busyAnswer(choice admitter.Choice) *errorAnswer {
