--- a/assigner/history.go
+++ b/assigner/history.go
@@ -50,8 +50,8 @@
 func (h *History) LengthenSettle(settle time.Duration) { h.cfg.Settle = max(h.cfg.Settle, settle) }
 
 // Learn adds the plans that are not known yet, and learns from their ages how long the others
-// have been known. They must be valid. When a plan was made that is older than one that is known
-// is not known but for its age.
+// have been known. They must be valid. Of a plan that is older than a known one, only its age tells when
+// it was made.
 func (h *History) Learn(now identifier.Instant, plans []Plan) (changed bool) {
 	newest, empty := h.Newest().Number, len(h.plans) == 0
 	for _, p := range plans {
@@ -98,8 +98,8 @@
 	return list
 }
 
-// HasAged reports whether the ages of a list of plans are out of date by a time, so that a
-// router that starts would take a plan for one by which streams may have begun, and it is not.
+// HasAged reports whether the age of the newest plan in a list is out of date by a time. A router
+// that starts with such a list counts ended plans for as much longer.
 func (h *History) HasAged(now identifier.Instant, list []Plan, by time.Duration) bool {
 	if len(h.plans) < 2 || len(list) == 0 {
 		return false
--- a/assigner/plan.go
+++ b/assigner/plan.go
@@ -19,7 +19,7 @@
 )
 
 // Plan divides the streams that begin at a pool among the software versions of its targets. A
-// plan that is not decoded by Check is not valid.
+// decoded plan must be checked.
 type Plan struct {
 	// Number orders the plans of a pool.
 	Number uint64 `json:"number"`
--- a/forwarder/versions.go
+++ b/forwarder/versions.go
@@ -10,7 +10,7 @@
 	"buckthorndrum/identifier"
 )
 
-// The reasons for which streams are refused since targets of several software versions serve.
+// The reasons for which streams are refused while targets of several software versions serve.
 const (
 	reasonBeginningUnknown = "The version at which this stream is to begin is not known."
 	reasonBeginningNoPlace = "The version at which this stream is to begin has no target."
